--- /dev/null
+++ b/src/planner/planner.cpp
@@ -0,0 +1,752 @@
+// The decision module: which servers each forwarder's tables name, and when orders go out.
+//
+// How callers reach it: makePlanner() in planner.h builds one planner an instance; begin(now), inputs, then
+// decide(), which writes the orders to the OrderSink. The interface is planner.h; callers know the wire, this
+// file does not. No clock, no I/O, no globals; the same inputs give the same orders.
+//
+// The ordinary path is the design (docs/design.md): listed weights minus withdrawn servers, gathered over a
+// window, merged into differences, checked against a ledger, sent in rounds, add before shrink.
+// Beside the design stand six mechanisms:
+//   1 health          a server whose sums are bad or silent is probed, and shut out if the probe agrees
+//   2 return          a shut-out server comes back after good probes, by fifths, the wait doubling on relapse
+//   3 levels          under stress of the whole fleet the product with least revenue for its time is let in
+//   less 4 further tries   a product's way of trying again follows from what may run twice 5 channel pacing
+//   unanswered lines bound the queue: urgent first, then joiners, then rounds 6 starting over   nothing is
+//   trusted after a start: all proxies are bound anew, busiest first
+#include "planner/planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <numeric>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace zincstack {
+namespace {
+
+using namespace std::chrono_literals;
+using Index = std::size_t;
+
+// Tuned values; the design's own starting values come first.
+constexpr Micros kWindow = 500ms, kRoundMost = 2s; // changes gather; a round ends, marks or not
+constexpr double kHeadroom = 1.2;                  // ledger capacity over listed share of heard usage
+constexpr int kRungs = 5;                          // a new server rises by fifths
+constexpr Micros kBeat = 100ms;                    // how often an idle planner looks at its clock
+constexpr double kColdLean = 1.25,
+                 kFallPart = 0.5; // how far a rung leads the slowest warming; of the multiple
+constexpr double kOrdinaryRoom = 0.5,
+                 kUrgentRoom = 0.95; // parts of the queue for orders that can wait, or can't
+constexpr double kJoinersSpan = 0.1; // joiners bound at one time: what the channel sends in this (s)
+constexpr double kSumsFade = 0.5, kUsageFade = 0.6; // what a period's figures keep for the next
+constexpr double kSickShare = 0.5, kSickOver = 0.25,
+                 kSickTries = 3;    // unanswered: share, above the rest, on tries
+constexpr double kHangShare = 0.9;  // at this share a quick answer to a probe proves nothing
+constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
+constexpr Micros kSilenceMost = 3s; // a server that is used but in no sums for so long is suspect
+constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
+constexpr int kGoodProbes = 2;      // in a row, before it returns
+constexpr Micros kHoldLeast = 3s, kHoldMost = 24s; // it stays out so long; doubled if it falls sick again
+constexpr Micros kRelapseWithin = 20s;             // within this of its return
+constexpr double kLatePart = 0.8; // a mean delay above this part of the least SLA time is late
+constexpr double kStressHigh = 0.3,
+                 kStressLow = 0.12; // share of tries that fail or are late: less, more let in
+constexpr double kPassDown = 0.12, kPassUp = 0.04, kPassLeast = 0.4; // steps and floor of what is let in
+constexpr double kProductFloor = 0.1;                                // no product is let in less than this
+constexpr double kLevelStep = 0.02; // smaller changes of a level are not worth a line
+constexpr double kNoLimit = 1e6;    // a rate that limits nothing
+
+double seconds(Micros span) { return static_cast<double>(span.count()) / 1e6; }
+std::string text(double value) { return std::to_string(value).substr(0, 6); }
+
+/// Decisions stand in tables of state, input, next state and effect; `read` finds the row that applies.
+template <class State, class Input, class Effect>
+struct Row {
+    State state;
+    Input input;
+    State next;
+    Effect effect;
+};
+const auto* read(const auto& rows, auto state, const auto& holds) {
+    const auto at = std::find_if(std::begin(rows), std::end(rows), [&](const auto& row) {
+        return (row.state == state || row.state == decltype(state)::Any) && holds(row.input);
+    });
+    return at == std::end(rows) ? nullptr : &*at;
+}
+
+enum class Duty { Absent, Draining, Serving, Suspect, ShutOut, Any };
+enum class News { Ready, Started, Drains, Gone, SumsBad, SumsGood, ProbeBad, ProbeGood, Rested };
+enum class Effect { Nothing, Enter, Probe, Shut, Return };
+using enum Duty;
+using enum News;
+using enum Effect;
+constexpr Row<Duty, News, Effect> kDuties[] = {
+    {Any, Started, Serving, Enter},     {Any, Drains, Draining, Nothing},
+    {Any, Gone, Absent, Nothing},       {Absent, Ready, Serving, Enter},
+    {Draining, Ready, Serving, Enter},  {Serving, SumsBad, Suspect, Probe},
+    {Suspect, SumsBad, Suspect, Probe}, {Suspect, SumsGood, Serving, Nothing},
+    {Suspect, ProbeBad, ShutOut, Shut}, {Suspect, ProbeGood, Serving, Nothing},
+    {ShutOut, Rested, Serving, Return}};
+
+enum class Phase { Idle, Gathering, Sent, Any };
+enum class Tick { Differences, WindowOver, AnsweredMore, Answered };
+enum class Move { OpenWindow, SendStep, EndRound };
+constexpr Row<Phase, Tick, Move> kPhases[] = {
+    {Phase::Idle, Tick::Differences, Phase::Gathering, Move::OpenWindow},
+    {Phase::Gathering, Tick::WindowOver, Phase::Sent, Move::SendStep},
+    {Phase::Sent, Tick::AnsweredMore, Phase::Sent, Move::SendStep},
+    {Phase::Sent, Tick::Answered, Phase::Idle, Move::EndRound}};
+
+/// Figures on servers in parallel arrays under a dense index; an index is never given to another server.
+struct Servers {
+    std::map<ServerId, Index> index;
+    std::vector<ServerId> id;
+    std::vector<ZoneId> zone;
+    std::vector<Duty> duty;
+    std::vector<Micros> startedAt, rampFrom, lastHeard, probeDue, heldUntil, hold, returnedAt;
+    std::vector<int> rung, goodProbes;
+    std::vector<char> withdrawn, probing, heard; // withdrawn: ordered out of all tables
+    std::vector<double> listed, tries, unanswered, delay;
+
+    Index size() const { return id.size(); }
+    Index add(const ListedServer& entry) {
+        const auto [at, fresh] = index.emplace(entry.id, size());
+        if (!fresh) return at->second;
+        id.push_back(entry.id);
+        zone.push_back(entry.zone);
+        duty.push_back(Absent);
+        for (auto* one : {&startedAt, &rampFrom, &lastHeard, &probeDue, &heldUntil, &hold, &returnedAt})
+            one->push_back(0us);
+        for (auto* one : {&rung, &goodProbes}) one->push_back(0);
+        for (auto* one : {&withdrawn, &probing, &heard}) one->push_back(0);
+        for (auto* one : {&listed, &tries, &unanswered, &delay}) one->push_back(0);
+        return at->second;
+    }
+    const Index* find(ServerId server) const {
+        const auto found = index.find(server);
+        return found == index.end() ? nullptr : &found->second;
+    }
+    bool serves(Index s) const { return duty[s] == Serving || duty[s] == Suspect; }
+    double target(Index s) const { return serves(s) ? listed[s] * rung[s] / kRungs : 0; }
+    double targets() const {
+        double sum = 0;
+        for (Index s = 0; s < size(); ++s) sum += target(s);
+        return sum;
+    }
+};
+
+struct Proxy {
+    ZoneId zone;
+    bool bound = false;
+    std::vector<double> usage;                          // txns a second by product
+    double staged = 0;                                  // lines of the message now being put together
+    std::deque<std::pair<MarkId, double>> waiting = {}; // lines of each message without an answer
+    double rate() const { return std::accumulate(usage.begin(), usage.end(), 0.0); }
+};
+using Proxies = std::map<ProxyId, Proxy>;
+
+/// Which servers serve, and how far each has risen.
+struct Health {
+    Servers& servers;
+    OrderSink& sink;
+    const bool mayProbe, weightsListed;
+    const Micros sumsPeriod, shortestSla, coldSpan;
+    const double coldShare, fallMultiple;
+    std::mt19937 chance;
+    Micros judgedAt{};
+    bool sumsCame = false;
+    double settled = 0, settledRate = 0;
+
+    void list(bool whole, std::span<const ListedServer> entries, Micros now) {
+        std::vector<char> named(servers.size(), 0);
+        for (const auto& entry : entries) {
+            const Index s = servers.add(entry);
+            if (s < named.size()) named[s] = 1;
+            servers.listed[s] = weightsListed && entry.weight > 0 ? entry.weight : 1;
+            const bool fresh = entry.startedAt > std::exchange(servers.startedAt[s], entry.startedAt);
+            static constexpr News kNews[] = {Gone, Ready, Drains};
+            const News news = kNews[static_cast<int>(entry.state)];
+            tell(s, news == Ready && fresh ? Started : news, now);
+        }
+        for (Index s = 0; whole && s < named.size(); ++s)
+            if (!named[s]) tell(s, Gone, now);
+    }
+
+    void sums(const ServerSums& line, Micros now) {
+        const Index* s = servers.find(line.server);
+        if (!s) return;
+        const double failed = std::min(line.unanswered, line.tries), good = line.tries - failed;
+        sumsCame = true;
+        servers.heard[*s] = 1;
+        servers.lastHeard[*s] = now;
+        servers.tries[*s] += line.tries;
+        servers.unanswered[*s] += failed;
+        servers.delay[*s] += good * seconds(line.meanDelay);
+        settled += good;
+    }
+
+    /// Once a period: what do the sums say of each server? Returns the stress of the whole fleet, if heard.
+    std::optional<double> judge(Micros now) {
+        if (!sumsCame || now - judgedAt < sumsPeriod * 9 / 10) return {};
+        settledRate = settled / seconds(judgedAt > 0us ? std::max(now - judgedAt, sumsPeriod) : sumsPeriod);
+        sumsCame = false;
+        judgedAt = now;
+        settled = 0;
+        double tries = 0, unanswered = 0, late = 0;
+        for (Index s = 0; s < servers.size(); ++s) {
+            if (!servers.serves(s)) continue;
+            const double good = servers.tries[s] - servers.unanswered[s];
+            tries += servers.tries[s];
+            unanswered += servers.unanswered[s];
+            if (good > 0 && servers.delay[s] / good > kLatePart * seconds(shortestSla)) late += good;
+        }
+        for (Index s = 0; s < servers.size(); ++s) {
+            if (servers.serves(s)) {
+                const double rest = tries - servers.tries[s];
+                const double usual = rest > 0 ? (unanswered - servers.unanswered[s]) / rest : 0;
+                const double share = servers.tries[s] > 0 ? servers.unanswered[s] / servers.tries[s] : 0;
+                const bool enough = servers.tries[s] >= kSickTries;
+                // Proxies keep away from what fails them, so no line at all is a symptom too.
+                const bool silent = now - servers.lastHeard[s] > kSilenceMost && tries > 10 * kSickTries &&
+                                    servers.rung[s] == kRungs && !servers.withdrawn[s];
+                if (silent || (enough && share >= kSickShare && share > usual + kSickOver))
+                    tell(s, SumsBad, now);
+                else if (enough)
+                    tell(s, SumsGood, now);
+            }
+            for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay}) (*sum)[s] *= kSumsFade;
+        }
+        return tries >= kSickTries ? std::optional((unanswered + late) / tries) : std::nullopt;
+    }
+
+    void probes(Micros now) {
+        for (Index s = 0; mayProbe && s < servers.size(); ++s) {
+            const bool wanted = servers.duty[s] == Suspect || servers.duty[s] == ShutOut;
+            if (!wanted || servers.probing[s] || now < servers.probeDue[s]) continue;
+            servers.probing[s] = 1;
+            servers.probeDue[s] = now + kProbeEvery + Micros(chance() % 100000);
+            sink.probe(servers.id[s]);
+        }
+    }
+
+    void probed(const ProbeResult& result, Micros now) {
+        const Index* found = servers.find(result.server);
+        if (!found) return;
+        const Index s = *found;
+        servers.probing[s] = 0;
+        if (result.status == ProbeStatus::Rejected) return;
+        // Some probes are shallow and answered while work hangs: where the sums say that next to nothing is
+        // answered, a quick answer does not clear the server. Harms one that failed by chance.
+        const bool hung = servers.duty[s] == Suspect && servers.tries[s] >= kSickTries &&
+                          servers.unanswered[s] >= kHangShare * servers.tries[s];
+        const bool good = result.status == ProbeStatus::Answered && result.delay < shortestSla && !hung;
+        servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
+        tell(s, good ? ProbeGood : ProbeBad, now);
+        if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
+    }
+
+    /// A risen server goes up a fifth a round, yet no faster than the slowest warming allows. Guards against
+    /// a cold server that falls over: under a jam's repeats even a fifth can be too much, so it may wait at
+    /// none.
+    void rise(double asked, bool mayClimb, Micros now) {
+        const double targets = servers.targets();
+        double listed = 0;
+        for (Index s = 0; s < servers.size(); ++s) listed += servers.serves(s) ? servers.listed[s] : 0;
+        for (Index s = 0; s < servers.size(); ++s) {
+            if (!servers.serves(s) || servers.rung[s] == kRungs) continue;
+            const double warm = warmth(s, now);
+            const double able = kFallPart * fallMultiple * warm * settledRate * servers.listed[s] / listed;
+            const auto brings = [&](int rung) {
+                const double weight = servers.listed[s] * rung / kRungs;
+                return asked * weight / std::max(targets - servers.target(s) + weight, weight);
+            };
+            const int next = servers.rung[s] + 1;
+            const bool judged = settledRate > 0 && warm < 1;
+            if (mayClimb && next <= kRungs * kColdLean * warm && (!judged || brings(next) <= able))
+                servers.rung[s] = next;
+            while (judged && servers.rung[s] > 0 && brings(servers.rung[s]) > 1.5 * able) --servers.rung[s];
+        }
+    }
+
+    /// How much of its capacity a server has at least, by the slowest warming that the terms allow.
+    double warmth(Index s, Micros now) const {
+        if (servers.rampFrom[s] <= 0us || coldSpan <= 0us) return 1;
+        return coldShare +
+               (1 - coldShare) * std::clamp(seconds(now - servers.rampFrom[s]) / seconds(coldSpan), 0., 1.);
+    }
+
+    void tell(Index s, News news, Micros now) {
+        const auto* row = read(kDuties, servers.duty[s], [&](News input) { return input == news; });
+        if (!row || (row->effect == Shut && !mayShut(s))) return;
+        if ((row->next == ShutOut) != (servers.duty[s] == ShutOut))
+            sink.log((row->next == ShutOut ? "shut out server " : "back: server ") + std::to_string(s) +
+                     ", tries " + text(servers.tries[s]) + ", unanswered " + text(servers.unanswered[s]));
+        servers.duty[s] = row->next;
+        switch (row->effect) {
+        case Nothing: return;
+        case Probe: servers.probeDue[s] = now; return;
+        case Shut:
+            servers.hold[s] = servers.returnedAt[s] > 0us && now - servers.returnedAt[s] < kRelapseWithin
+                                  ? std::min(servers.hold[s] * 2, kHoldMost)
+                                  : kHoldLeast;
+            servers.heldUntil[s] = now + servers.hold[s];
+            servers.probeDue[s] = now + kProbeEvery;
+            servers.goodProbes[s] = 0;
+            return;
+        case Enter: servers.rampFrom[s] = servers.startedAt[s]; break;
+        case Return: // it may have come back cold before the list says so: it rises like a new one
+            servers.rampFrom[s] = servers.returnedAt[s] = now;
+        }
+        servers.rung[s] = warmth(s, now) >= 1 ? kRungs : 1;
+        servers.lastHeard[s] = now;
+        servers.tries[s] = servers.unanswered[s] = servers.delay[s] = 0;
+    }
+
+    /// If nearly all looks sick, the view is doubted, not the fleet: health shuts out only so much of it.
+    bool mayShut(Index s) const {
+        double all = 0, out = servers.listed[s];
+        for (Index k = 0; k < servers.size(); ++k) {
+            if (servers.serves(k) || servers.duty[k] == ShutOut) all += servers.listed[k];
+            if (servers.duty[k] == ShutOut) out += servers.listed[k];
+        }
+        return out <= kDoubtPart * all;
+    }
+};
+
+struct Table {
+    TableId id;
+    ZoneId zone;
+    bool zoneOnly;
+    ProductSet products;
+    std::vector<double> standing = {};        // weight of each server as last ordered
+    std::map<Index, double> levels = {};      // by product, as last ordered
+    std::map<Index, FurtherTries> tries = {}; // the same
+    double slowed = 1;                        // the share at which a deadlocked table moves
+    bool serves(const Proxy& proxy) const { return proxy.bound && proxy.zone == zone; }
+};
+
+/// Lines without an answer bound the lines that wait, however slow the channel is just now.
+struct Channel {
+    Proxies& proxies;
+    OrderSink& sink;
+    const double linesPerSecond, headLines, queueMost;
+    const Micros gap;
+    std::optional<Micros> sentAt = {};
+    std::uint32_t marks = 0;
+
+    /// Where messages to a proxy are counted, the gap alone keeps the count: no batch writes sooner than
+    /// that.
+    bool open(Micros now) const { return !sentAt || now - *sentAt >= gap; }
+    double room(double part) const {
+        double left = part * queueMost;
+        for (const auto& [id, proxy] : proxies) {
+            left -= proxy.staged;
+            for (const auto& [mark, lines] : proxy.waiting) left -= lines;
+        }
+        return left;
+    }
+    void charge(double lines) {
+        for (auto& [id, proxy] : proxies) proxy.staged += lines;
+    }
+    void charge(const Table& table, double lines) {
+        for (auto& [id, proxy] : proxies) proxy.staged += table.serves(proxy) ? lines : 0;
+    }
+
+    /// Proxies that keep an old table are bound a few at a time, busiest first.
+    void joiners(const std::vector<Table>& tables, const Servers& servers, double room) {
+        std::vector<std::pair<double, ProxyId>> order;
+        for (const auto& [id, proxy] : proxies)
+            if (!proxy.bound) order.emplace_back(-proxy.rate(), id);
+        std::sort(order.begin(), order.end());
+        double budget = std::min(room, linesPerSecond * kJoinersSpan);
+        const auto out = std::count(servers.withdrawn.begin(), servers.withdrawn.end(), 1);
+        for (const auto& [rate, id] : order) {
+            if (budget <= 0 || servers.targets() <= 0) return;
+            Proxy& proxy = proxies[id];
+            proxy.bound = true;
+            for (const auto& table : tables) {
+                if (!table.serves(proxy)) continue;
+                sink.bind(id, table.products, table.id);
+                proxy.staged += 1 + static_cast<double>(table.standing.size() + table.levels.size()) +
+                                static_cast<double>(out);
+            }
+            budget -= proxy.staged + headLines;
+        }
+    }
+
+    /// Closes the message of every proxy that something was ordered for with a mark.
+    std::optional<MarkId> send(Micros now) {
+        if (std::all_of(proxies.begin(), proxies.end(),
+                        [](const auto& one) { return one.second.staged <= 0; }))
+            return {};
+        marks = marks % 65535 + 1; // marks wrap under 65536
+        const MarkId mark{static_cast<std::uint16_t>(marks)};
+        sink.mark(mark, false);
+        for (auto& [id, proxy] : proxies) {
+            if (proxy.staged > 0) proxy.waiting.emplace_back(mark, proxy.staged + headLines + 1);
+            proxy.staged = 0;
+        }
+        sentAt = now;
+        return mark;
+    }
+    void applied(ProxyId id, MarkId number) {
+        const auto found = proxies.find(id);
+        if (found == proxies.end()) return;
+        auto& waiting = found->second.waiting;
+        const auto at =
+            std::find_if(waiting.begin(), waiting.end(), [&](auto& one) { return one.first == number; });
+        if (at != waiting.end()) waiting.erase(waiting.begin(), at + 1);
+    }
+    bool answered(std::optional<MarkId> number) const {
+        for (const auto& [id, proxy] : proxies)
+            for (const auto& [mark, lines] : proxy.waiting)
+                if (number && mark == *number) return false;
+        return true;
+    }
+};
+
+/// How much of each product is let in, and when proxies try again.
+struct Levels {
+    OrderSink& sink;
+    const Throttle throttle;
+    const std::vector<ProductTerms> products;
+    std::vector<double> pass; // by product: the share let in
+    double letIn = 1;
+
+    double asked(const Proxies& proxies) const {
+        double sum = 0;
+        for (const auto& [id, proxy] : proxies)
+            for (Index p = 0; p < pass.size(); ++p) sum += proxy.usage[p] * pass[p];
+        return sum;
+    }
+
+    /// The whole fleet fails or is late: less is let in, first of the product with least revenue for its
+    /// time.
+    void stressed(double stress, const Proxies& proxies) {
+        const double before = letIn;
+        if (stress > kStressHigh) letIn = std::max(kPassLeast, letIn - kPassDown);
+        if (stress < kStressLow) letIn = std::min(1.0, letIn + kPassUp);
+        if ((before < 1) != (letIn < 1))
+            sink.log("let in " + text(before) + " -> " + text(letIn) + ", stress " + text(stress));
+        std::vector<Index> order(products.size());
+        std::iota(order.begin(), order.end(), Index{0});
+        const auto gain = [&](Index p) { return products[p].revenue / seconds(products[p].slaTime); };
+        std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) { return gain(a) < gain(b); });
+        std::vector<double> work(products.size(), 0);
+        for (const auto& [id, proxy] : proxies)
+            for (Index p = 0; p < work.size(); ++p) work[p] += proxy.usage[p] * seconds(products[p].slaTime);
+        double spare = (1 - letIn) * std::accumulate(work.begin(), work.end(), 0.0);
+        for (const Index p : order) {
+            const double cut = std::min(spare, work[p] * (1 - kProductFloor));
+            pass[p] = work[p] > 0 ? 1 - cut / work[p] : 1;
+            spare -= cut;
+        }
+    }
+
+    void order(std::vector<Table>& tables, const Proxies& proxies, Channel& channel) {
+        for (auto& table : tables)
+            for (Index p = 0; p < products.size(); ++p) {
+                if (!(table.products >> p & 1U)) continue;
+                const double level = levelAt(std::min(1.0, pass[p] * table.slowed), p, proxies);
+                const FurtherTries tries = FurtherTries::AfterProof; // safe for every product
+                const auto before = table.levels.find(p);
+                if (before != table.levels.end() && table.tries[p] == tries &&
+                    std::abs(level - before->second) <= kLevelStep * std::max(level, before->second))
+                    continue;
+                sink.admit(table.id, static_cast<ProductSet>(1U << p), level, tries);
+                table.levels[p] = level;
+                table.tries[p] = tries;
+                channel.charge(table, 1);
+            }
+    }
+
+    /// A share as it is; or the rate at each proxy at which that share of the product passes in all.
+    double levelAt(double share, Index p, const Proxies& proxies) const {
+        if (throttle != Throttle::Rate) return share;
+        std::vector<double> rates;
+        for (const auto& [id, proxy] : proxies) rates.push_back(proxy.usage[p]);
+        std::sort(rates.begin(), rates.end());
+        double goal = share * std::accumulate(rates.begin(), rates.end(), 0.0);
+        for (Index k = 0; share < 1 && k < rates.size(); goal -= rates[k++]) {
+            const double even = goal / static_cast<double>(rates.size() - k);
+            if (even <= rates[k]) return even;
+        }
+        return kNoLimit;
+    }
+};
+
+/// The design: targets, differences, the ledger and rounds.
+struct Rounds {
+    Servers& servers;
+    Proxies& proxies;
+    Channel& channel;
+    OrderSink& sink;
+    std::vector<Table> tables;
+    Phase phase = Phase::Idle;
+    Micros windowAt{}, sentAt{};
+    std::optional<MarkId> mark = {};
+
+    /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
+    void urgent() {
+        for (auto& table : tables) table.standing.resize(servers.size(), 0);
+        const double each = static_cast<double>(proxies.size());
+        for (Index s = 0; s < servers.size(); ++s) {
+            if (!servers.serves(s) && !servers.withdrawn[s] && channel.room(kUrgentRoom) >= each)
+                withdraw(s, true);
+            for (auto& table : tables)
+                if (servers.serves(s) && servers.rung[s] < kRungs && table.standing[s] > target(table, s) &&
+                    channel.room(kUrgentRoom) >= each)
+                    line(table, s);
+        }
+    }
+
+    void play(Micros now) {
+        for (bool moved = true; moved;) {
+            moved = false;
+            const bool over = answered(now), more = differs();
+            const bool input[] = {more, now - windowAt >= kWindow || bare(), over && more, over};
+            const auto* row = read(kPhases, phase, [&](Tick tick) { return input[static_cast<int>(tick)]; });
+            if (!row) break;
+            if (phase == Phase::Sent)
+                for (auto& table : tables) table.slowed = 1;
+            phase = row->next;
+            moved = row->effect != Move::SendStep;
+            if (row->effect == Move::OpenWindow) windowAt = now;
+            if (row->effect == Move::SendStep) step(now);
+        }
+        for (Index s = 0; s < servers.size(); ++s) // let in again once every table has it at its present rung
+            if (servers.serves(s) && servers.withdrawn[s] &&
+                std::all_of(tables.begin(), tables.end(),
+                            [&](auto& table) { return table.standing[s] == target(table, s); }))
+                withdraw(s, false);
+    }
+    void sent(std::optional<MarkId> number, Micros now) {
+        if (phase == Phase::Sent && sentAt == now) mark = number;
+    }
+    bool answered(Micros now) const {
+        return phase == Phase::Sent && sentAt != now &&
+               (now - sentAt >= kRoundMost || channel.answered(mark));
+    }
+    bool resting() const { return phase != Phase::Sent; }
+
+    double target(const Table& table, Index s) const {
+        return table.zoneOnly && servers.zone[s] != table.zone ? 0 : servers.target(s);
+    }
+    double demand(const Table& table) const {
+        double sum = 0;
+        for (const auto& [id, proxy] : proxies)
+            for (Index p = 0; table.serves(proxy) && p < proxy.usage.size(); ++p)
+                sum += table.products >> p & 1U ? proxy.usage[p] : 0;
+        return sum;
+    }
+    bool differs() const {
+        return std::any_of(tables.begin(), tables.end(), [&](const Table& table) {
+            for (Index s = 0; s < servers.size(); ++s)
+                if (target(table, s) != table.standing[s]) return true;
+            return false;
+        });
+    }
+    /// No table names a server yet: nothing is gathered, the first lines go at once.
+    bool bare() const {
+        return std::all_of(tables.begin(), tables.end(), [](const Table& table) {
+            return std::all_of(table.standing.begin(), table.standing.end(),
+                               [](double one) { return one <= 0; });
+        });
+    }
+    void withdraw(Index s, bool out) {
+        sink.withdraw(servers.id[s], out);
+        servers.withdrawn[s] = out;
+        channel.charge(1);
+    }
+    void line(Table& table, Index s) {
+        table.standing[s] = target(table, s);
+        sink.setLine(table.id, servers.id[s], table.standing[s]);
+        channel.charge(table, 1);
+    }
+
+    struct Node {
+        Table* table;
+        double demand, whole;
+        std::vector<Index> ups = {}, downs = {};
+    };
+    /// One step of a round: releases, then the changes that fit, ranked by the servers that they free.
+    void step(Micros now) {
+        sentAt = now;
+        mark = {};
+        const Index n = servers.size();
+        std::vector<double> capacity(n, 0), load(n, 0);
+        std::vector<Node> nodes;
+        double usage = 0;
+        for (auto& table : tables) {
+            Node node{&table, demand(table), 0};
+            usage += node.demand;
+            for (Index s = 0; s < n; ++s) {
+                node.whole += servers.withdrawn[s] ? 0 : table.standing[s];
+                if (target(table, s) > table.standing[s]) node.ups.push_back(s);
+                if (target(table, s) < table.standing[s]) node.downs.push_back(s);
+            }
+            for (Index s = 0; s < n; ++s) load[s] += node.demand * part(node, s);
+            nodes.push_back(std::move(node));
+        }
+        capacities(capacity, usage);
+        bool sent = false;
+        const auto go = [&](const Node& node, Index s) {
+            if (channel.room(kOrdinaryRoom) <= 0) return;
+            line(*node.table, s);
+            sent = true;
+        };
+        for (const auto& node : nodes) // releases; a table that serves nobody and the dead skip the fit check
+            for (const Index s : node.downs)
+                if (node.demand <= 0 || node.ups.empty() || !servers.serves(s)) go(node, s);
+        std::stable_sort(nodes.begin(), nodes.end(),
+                         [](const Node& a, const Node& b) { return a.downs.size() > b.downs.size(); });
+        const Node* least = nullptr;
+        double leastRatio = 2, leastPart = 0;
+        for (const auto& node : nodes) {
+            double fits = 2, over = 0;
+            for (const Index s : node.ups) {
+                const double aim = target(*node.table, s);
+                const double after =
+                    aim / (node.whole + aim - (servers.withdrawn[s] ? 0 : node.table->standing[s]));
+                const double more = node.demand * (after - part(node, s)), residual = capacity[s] - load[s];
+                if (node.demand <= 0 || more <= residual) {
+                    load[s] += more;
+                    go(node, s);
+                } else {
+                    fits = std::min(fits, std::max(residual, 0.0) / more);
+                    over += more;
+                }
+            }
+            if (fits < 1 && 1 - fits < leastRatio) least = &node, leastRatio = 1 - fits, leastPart = over;
+        }
+        if (sent || !least) return;
+        // Deadlock: the least loss moves, slowed by the part of its demand that its step brings too much of.
+        least->table->slowed = std::clamp(1 - leastRatio * leastPart / least->demand, 0.0, 1.0);
+        sink.log("deadlock: table " + std::to_string(least->table->id.value) + " at " +
+                 text(least->table->slowed));
+        for (const Index s : least->ups) go(*least, s);
+    }
+    double part(const Node& node, Index s) const {
+        return node.whole > 0 && !servers.withdrawn[s] ? node.table->standing[s] / node.whole : 0;
+    }
+    /// Listed share of heard usage times the headroom; unheard servers count as average.
+    void capacities(std::vector<double>& capacity, double usage) const {
+        double known = 0, heard = 0;
+        for (Index s = 0; s < servers.size(); ++s)
+            if (servers.serves(s) && servers.heard[s]) known += servers.listed[s], ++heard;
+        for (Index s = 0; s < servers.size(); ++s)
+            capacity[s] = servers.heard[s] || heard <= 0 || !servers.serves(s)
+                              ? servers.target(s)
+                              : known / heard * servers.rung[s] / kRungs;
+        const double all = std::accumulate(capacity.begin(), capacity.end(), 0.0);
+        for (double& one : capacity) one = all > 0 ? kHeadroom * usage * one / all : 0;
+    }
+};
+
+class Decider final : public Planner {
+public:
+    Decider(std::uint64_t seed, const FleetTerms& fleet, const ForwarderTerms& forwarders,
+            const ChannelTerms& channel, const GuardTerms& guards, std::span<const ProductTerms> products,
+            OrderSink& sink)
+        : sink_(sink), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
+          health_{servers_,
+                  sink,
+                  fleet.mayProbe,
+                  fleet.weightsListed,
+                  fleet.sumsPeriod,
+                  std::min_element(products.begin(), products.end(), sooner)->slaTime,
+                  guards.coldSpan,
+                  guards.coldShare,
+                  guards.fallMultiple,
+                  std::mt19937(static_cast<std::uint32_t>(seed))},
+          channel_{proxies_,
+                   sink,
+                   channel.linesPerSecond,
+                   channel.headLines,
+                   channel.queueMost,
+                   channel.messagesMost > 1 ? channel.messagesOver / (channel.messagesMost - 1) : 0us},
+          levels_{sink,
+                  forwarders.throttle,
+                  {products.begin(), products.end()},
+                  std::vector<double>(products.size(), 1.0)},
+          rounds_{servers_, proxies_, channel_, sink, {}} {
+        for (const bool zoneOnly : {false, true}) {
+            ProductSet part = 0;
+            for (Index p = 0; p < products.size(); ++p)
+                if (products[p].ownZoneOnly == zoneOnly) part = static_cast<ProductSet>(part | 1U << p);
+            for (std::uint8_t z = 0; part && z < fleet.zones; ++z)
+                rounds_.tables.push_back(
+                    {{static_cast<std::uint16_t>(rounds_.tables.size())}, {z}, zoneOnly, part});
+        }
+    }
+
+    void begin(Micros now) override { now_ = now; }
+    void list(ListNews news, std::span<const ListedServer> entries) override {
+        if (news == ListNews::Failed)
+            mustFollow_ = true;
+        else
+            health_.list(news != ListNews::Changes, entries, now_);
+    }
+    void joined(ProxyId id, ZoneId zone, double usualRate) override {
+        const Index products = levels_.products.size();
+        proxies_[id] = {zone, false,
+                        std::vector<double>(products, usualRate / static_cast<double>(products))};
+    }
+    void left(ProxyId id) override { proxies_.erase(id); }
+    void sums(const ServerSums& line) override { health_.sums(line, now_); }
+    void usage(const UsageSums& line) override {
+        const auto found = proxies_.find(line.proxy);
+        if (found == proxies_.end() || line.product.value >= levels_.products.size() || line.span <= 0us)
+            return;
+        double& rate = found->second.usage[line.product.value];
+        rate = kUsageFade * rate + (1 - kUsageFade) * line.txns / seconds(line.span);
+    }
+    void applied(ProxyId id, MarkId number) override { channel_.applied(id, number); }
+    void probed(const ProbeResult& result) override { health_.probed(result, now_); }
+    void woken() override { awake_ = false; }
+
+    void decide() override {
+        if (sliced_) return;
+        if (!awake_) sink_.wakeAfter(kBeat);
+        awake_ = true;
+        if (mustFollow_) sink_.followList();
+        mustFollow_ = false;
+        if (const auto stress = health_.judge(now_)) levels_.stressed(*stress, proxies_);
+        health_.probes(now_);
+        if (!channel_.open(now_)) return;
+        health_.rise(levels_.asked(proxies_), rounds_.resting() || rounds_.answered(now_), now_);
+        rounds_.urgent();
+        if (channel_.room(kOrdinaryRoom) > 0) {
+            rounds_.play(now_);
+            levels_.order(rounds_.tables, proxies_, channel_);
+            channel_.joiners(rounds_.tables, servers_, channel_.room(kOrdinaryRoom));
+        }
+        rounds_.sent(channel_.send(now_), now_);
+    }
+
+private:
+    OrderSink& sink_;
+    const bool sliced_;
+    static bool sooner(const ProductTerms& a, const ProductTerms& b) { return a.slaTime < b.slaTime; }
+    bool mustFollow_, awake_ = false;
+    Micros now_{};
+    Servers servers_;
+    Proxies proxies_;
+    Health health_;
+    Channel channel_;
+    Levels levels_;
+    Rounds rounds_;
+};
+
+} // namespace
+
+std::unique_ptr<Planner> makePlanner(std::uint64_t seed, const FleetTerms& fleet,
+                                     const ForwarderTerms& forwarders, const ChannelTerms& channel,
+                                     const GuardTerms& guards, std::span<const ProductTerms> products,
+                                     OrderSink& sink) {
+    return std::make_unique<Decider>(seed, fleet, forwarders, channel, guards, products, sink);
+}
+
+} // namespace zincstack
--- /dev/null
+++ b/src/simwire/codec.cpp
@@ -0,0 +1,83 @@
+#include "simwire/codec.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace zincstack::simwire {
+
+namespace {
+constexpr double kLongestSeconds = 4e9;
+}
+
+void FieldReader::fail(std::string_view field, std::string_view what) const {
+    throw Malformed(std::string(record_) + "." + std::string(field) + " at offset " +
+                    std::to_string(offset_) + ": " + std::string(what));
+}
+
+std::span<const std::byte> FieldReader::take(std::string_view field, std::size_t size) {
+    if (size > rest_.size())
+        fail(field, "needs " + std::to_string(size) + " bytes, " + std::to_string(rest_.size()) + " left");
+    const auto out = rest_.first(size);
+    rest_ = rest_.subspan(size);
+    offset_ += size;
+    return out;
+}
+
+double FieldReader::number(std::string_view field) {
+    double out{};
+    std::memcpy(&out, take(field, sizeof out).data(), sizeof out);
+    if (!std::isfinite(out)) fail(field, "not a finite number");
+    return out;
+}
+
+double FieldReader::shortNumber(std::string_view field) {
+    float out{};
+    std::memcpy(&out, take(field, sizeof out).data(), sizeof out);
+    if (!std::isfinite(out)) fail(field, "not a finite number");
+    return static_cast<double>(out);
+}
+
+bool FieldReader::flag(std::string_view field) {
+    const auto value = whole<std::uint8_t>(field);
+    if (value > 1) fail(field, "neither true nor false");
+    return value == 1;
+}
+
+ServerId FieldReader::server(std::string_view field) {
+    ServerId out;
+    std::memcpy(&out.value, take(field, 6).data(), 6);
+    return out;
+}
+
+Micros FieldReader::toMicros(double seconds, std::string_view field) const {
+    if (std::abs(seconds) > kLongestSeconds) fail(field, "a time out of all range");
+    return Micros(std::llround(seconds * 1e6));
+}
+
+void FieldReader::done() const {
+    if (!rest_.empty()) fail("end", std::to_string(rest_.size()) + " bytes too many");
+}
+
+BatchHeader readBatchHeader(std::span<const std::byte> bytes) {
+    FieldReader in("batch", bytes, 0);
+    BatchHeader out;
+    out.records = in.whole<std::uint32_t>("records");
+    out.bytes = in.whole<std::uint32_t>("length");
+    out.clock = in.time("clock");
+    return out;
+}
+
+void ReplyWriter::put(std::string_view text) {
+    const auto size = static_cast<std::uint16_t>(
+        std::min<std::size_t>(text.size(), std::numeric_limits<std::uint16_t>::max()));
+    put(size);
+    raw(text.data(), size);
+}
+
+std::span<const std::byte> ReplyWriter::finish() {
+    const auto size = static_cast<std::uint32_t>(bytes_.size() - sizeof(std::uint32_t));
+    std::memcpy(bytes_.data(), &size, sizeof size);
+    return bytes_;
+}
+
+} // namespace zincstack::simwire
--- /dev/null
+++ b/tests/planner_test.cpp
@@ -0,0 +1,245 @@
+// The decision module without the bench: seeded random days with the rules checked after every step, and a
+// few plain cases.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "world.h"
+
+namespace zincstack::tests {
+namespace {
+
+/// A world of `servers` servers, warm, with proxies joined and bound, and calm sums heard.
+std::unique_ptr<World> settled(std::size_t servers, std::uint16_t count = 4) {
+    auto world = std::make_unique<World>();
+    for (std::uint64_t s = 1; s <= servers; ++s) world->server(s);
+    world->start();
+    for (std::uint16_t p = 0; p < count; ++p)
+        world->join(p, static_cast<std::uint8_t>(p % 2), 10, {{1}, {2}});
+    world->pass(2s);
+    world->sums(20, [](auto) { return 0.0; });
+    world->pass(1s);
+    world->clear();
+    return world;
+}
+
+double weightOf(World& world, std::uint64_t server) {
+    const auto& table = world.tables[{0}];
+    const auto found = table.find({server});
+    return found == table.end() ? 0 : found->second;
+}
+
+struct Happening {
+    int kind;
+    std::uint16_t who;
+    double share;
+};
+
+TEST(Rules, HoldOnRandomDays) {
+    const auto happening = rc::gen::construct<Happening>(
+        rc::gen::inRange(0, 12), rc::gen::inRange<std::uint16_t>(0, 12),
+        rc::gen::map(rc::gen::inRange(0, 101), [](int k) { return k / 100.0; }));
+    const bool held = rc::check("the five rules hold after every step", [&] {
+        World world;
+        world.channel.messagesMost = *rc::gen::element(0U, 30U);
+        world.forwarders.throttle = *rc::gen::element(Throttle::Share, Throttle::Rate, Throttle::None);
+        for (std::uint64_t s = 0; s < 12; ++s) world.server(s, 1 + static_cast<double>(s % 3), s % 2);
+        world.start(*rc::gen::inRange<std::uint64_t>(0, 1000));
+        for (std::uint16_t p = 0; p < 8; ++p) world.join(p, p % 2, 5 + p, {{p}, {p + 1U}, {p + 2U}});
+        for (const auto& [kind, who, share] : *rc::gen::container<std::vector<Happening>>(40, happening)) {
+            const auto sick = [&, one = who](std::uint64_t id) { return id % 12 == one ? 1.0 : share; };
+            switch (kind) {
+            case 0: world.news(who, ListedState::Draining); break;
+            case 1: world.news(who, ListedState::Gone); break;
+            case 2:
+            case 3: world.news(who, ListedState::Ready, world.now - 500ms); break;
+            case 4: world.leave(who); break;
+            case 5:
+            case 6: world.join(who, who % 2, 100 * share, {{who}, {who + 1U}}); break;
+            case 7: world.sums(20, sick); break;
+            case 8:
+                world.sums(
+                    20, [](auto) { return 0.0; }, 3s);
+                break;
+            case 9: world.slow = 1 + 4 * share; break;
+            case 10: world.answerProbes(share < 0.5 ? ProbeStatus::TimedOut : ProbeStatus::Answered); break;
+            default: // the planner is killed and starts over; its proxies come back with what they hold
+                const auto before = world.proxies;
+                world.proxies.clear();
+                world.flight.clear();
+                world.start(who);
+                for (const auto& [id, old] : before) {
+                    std::set<ServerId> keeps = old.standing;
+                    for (const auto& [server, weight] : old.lines) keeps.insert(server);
+                    world.join(id.value, old.zone.value, 10, keeps);
+                    if (world.proxies[id].lines.empty()) world.proxies[id].out = old.out;
+                }
+            }
+            world.pass(Micros(static_cast<std::int64_t>(share * 3e6)));
+            if (!world.broken.empty()) RC_FAIL(world.broken.front());
+        }
+    });
+    EXPECT_TRUE(held);
+}
+
+TEST(Planner, SameInputsGiveTheSameOrders) {
+    const auto play = [] {
+        const auto world = settled(5);
+        world->sums(20, [](auto id) { return id == 2 ? 1.0 : 0.0; });
+        world->news(3, ListedState::Draining);
+        world->pass(3s);
+        return std::make_tuple(world->tables, world->withdrawn, world->probes, world->logs);
+    };
+    EXPECT_EQ(play(), play());
+}
+
+TEST(Rounds, AddAndRemoveInsideTheWindowCancel) {
+    const auto world = settled(4);
+    world->news(9, ListedState::Ready, 0us);
+    world->news(9, ListedState::Gone);
+    world->pass(3s);
+    EXPECT_TRUE(
+        std::none_of(world->lines.begin(), world->lines.end(), [](auto& one) { return one.weight > 0; }));
+}
+
+TEST(Rounds, OnlyDifferencesAreSent) {
+    const auto world = settled(6);
+    world->news(3, ListedState::Draining);
+    world->pass(4s);
+    for (const auto& line : world->lines) EXPECT_EQ(line.server, ServerId{3});
+    EXPECT_EQ(weightOf(*world, 3), 0);
+    EXPECT_TRUE(world->withdrawn.contains({3}));
+}
+
+TEST(Rounds, ANewServerRisesByFifthsAndNoFasterThanItWarms) {
+    const auto world = settled(6);
+    world->news(9, ListedState::Ready, world->now);
+    world->pass(1s);
+    EXPECT_DOUBLE_EQ(weightOf(*world, 9), 0.2);
+    double before = 0.2;
+    for (int k = 0; k < 40; ++k) {
+        world->pass(500ms);
+        if (k % 2) world->sums(20, [](auto) { return 0.0; });
+        EXPECT_LE(weightOf(*world, 9) - before, 0.2 + 1e-9);
+        before = weightOf(*world, 9);
+    }
+    EXPECT_DOUBLE_EQ(before, 1);
+    EXPECT_TRUE(world->broken.empty());
+}
+
+TEST(Rounds, AServerThatRestartsUnseenIsLoweredAtOnce) {
+    const auto world = settled(6);
+    world->news(3, ListedState::Ready, world->now);
+    world->pass(400ms); // the gap between two messages to one proxy
+    EXPECT_DOUBLE_EQ(weightOf(*world, 3), 0.2);
+}
+
+TEST(Joiners, AreBoundBusiestFirstAndLeaversForgotten) {
+    World world;
+    for (std::uint64_t s = 1; s <= 4; ++s) world.server(s);
+    world.start();
+    world.channel.messagesMost = 0;
+    world.planner->begin(world.now);
+    for (std::uint16_t p = 0; p < 3; ++p) {
+        world.proxies[{p}].joinedAt = world.now;
+        world.planner->joined({p}, {0}, 1.0 + p);
+    }
+    world.pass(500ms);
+    ASSERT_EQ(world.binds.size(), 3U);
+    EXPECT_EQ(world.binds.front().proxy, ProxyId{2});
+    world.leave(2);
+    world.clear();
+    world.pass(2s);
+    EXPECT_TRUE(world.binds.empty());
+}
+
+TEST(Joiners, OwnZoneProductsGetATableOfTheirZone) {
+    World world;
+    world.products[1].ownZoneOnly = true;
+    for (std::uint64_t s = 1; s <= 4; ++s) world.server(s, 1, s % 2);
+    world.start();
+    world.join(1, 1, 10, {{1}});
+    world.pass(1s);
+    ASSERT_EQ(world.binds.size(), 2U);
+    EXPECT_EQ(world.tables[world.binds[0].table].size(), 4U);
+    EXPECT_EQ(world.tables[world.binds[1].table].size(), 2U);
+}
+
+TEST(Health, SumsAloneShutNothingOut) {
+    const auto world = settled(6);
+    for (int k = 0; k < 4; ++k) {
+        world->sums(20, [](auto id) { return id == 2 ? 0.6 : 0.0; });
+        world->answerProbes(ProbeStatus::Answered);
+        world->pass(1s);
+    }
+    EXPECT_TRUE(world->withdrawn.empty());
+}
+
+TEST(Health, AConfirmedServerIsShutOutAndComesBackByFifths) {
+    const auto world = settled(6);
+    world->sums(20, [](auto id) { return id == 2 ? 0.8 : 0.0; });
+    EXPECT_EQ(world->probes, std::vector<ServerId>{{2}});
+    world->answerProbes(ProbeStatus::TimedOut);
+    world->pass(500ms);
+    EXPECT_TRUE(world->withdrawn.contains({2}));
+    for (int k = 0; k < 16; ++k) world->pass(500ms), world->answerProbes(ProbeStatus::Answered);
+    EXPECT_FALSE(world->withdrawn.contains({2}));
+    EXPECT_GT(weightOf(*world, 2), 0);
+    EXPECT_LT(weightOf(*world, 2), 1);
+}
+
+TEST(Health, AHangIsNotClearedByAShallowProbe) {
+    const auto world = settled(6);
+    for (int k = 0; k < 4; ++k) {
+        world->sums(20, [](auto id) { return id == 2 ? 1.0 : 0.0; });
+        world->answerProbes(ProbeStatus::Answered);
+        world->pass(1s);
+    }
+    EXPECT_TRUE(world->withdrawn.contains({2}));
+}
+
+TEST(Health, IfNearlyAllLooksSickTheViewIsDoubted) {
+    const auto world = settled(6);
+    for (int k = 0; k < 5; ++k) {
+        world->sums(20, [](auto id) { return id == 6 ? 0.0 : 1.0; });
+        world->answerProbes(ProbeStatus::TimedOut);
+        world->pass(1s);
+    }
+    EXPECT_LE(world->withdrawn.size(), 2U);
+    EXPECT_TRUE(world->broken.empty());
+}
+
+TEST(Levels, LeastRevenueForItsTimeIsCutFirstAndComesBack) {
+    const auto world = settled(6);
+    for (int k = 0; k < 2; ++k) world->sums(20, [](auto) { return 0.8; }), world->pass(1s);
+    ASSERT_FALSE(world->levels.empty());
+    for (const auto& one : world->levels) EXPECT_TRUE(one.level >= 0.9 || one.products == 2);
+    for (int k = 0; k < 40; ++k) world->sums(20, [](auto) { return 0.0; }), world->pass(1s);
+    EXPECT_DOUBLE_EQ(world->levels.back().level, 1);
+}
+
+TEST(StartingOver, OldTablesAreReplacedAtOnce) {
+    const auto world = settled(6);
+    world->news(3, ListedState::Gone);
+    world->pass(2s);
+    const auto before = world->proxies;
+    world->proxies.clear();
+    world->flight.clear();
+    world->start(11);
+    for (const auto& [id, old] : before) world->join(id.value, old.zone.value, 10, {{1}, {3}});
+    world->pass(2s);
+    EXPECT_EQ(world->assigned.size(), before.size());
+    EXPECT_TRUE(world->broken.empty());
+}
+
+TEST(Slices, AreLetPass) {
+    World world;
+    world.fleet.sliced = true;
+    world.server(1);
+    world.start();
+    world.join(1, 0, 10, {{1}});
+    world.pass(2s);
+    EXPECT_TRUE(world.lines.empty() && world.binds.empty() && world.levels.empty());
+}
+
+} // namespace
+} // namespace zincstack::tests
