Returned servers rise a fifth a round; a cold one waits at none only beside a full one

Now a return rises a fifth a round (the list tells if it started anew), the cold guard takes a server to none only while another is fully risen, and a table without any line skips the fit check.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -105,7 +105,7 @@
     std::vector<ServerId> id;
     std::vector<ZoneId> zone;
     std::vector<Duty> duty;
-    std::vector<Micros> startedAt, rampFrom, lastHeard, probeDue, heldUntil, hold, returnedAt;
+    std::vector<Micros> startedAt, lastHeard, probeDue, heldUntil, hold, returnedAt;
     std::vector<int> rung, goodProbes;
     std::vector<char> withdrawn, probing, heard; // withdrawn: ordered out of all tables
     std::vector<double> listed, tries, unanswered, delay;
@@ -117,7 +117,7 @@
         id.push_back(entry.id);
         zone.push_back(entry.zone);
         duty.push_back(Absent);
-        for (auto* one : {&startedAt, &rampFrom, &lastHeard, &probeDue, &heldUntil, &hold, &returnedAt})
+        for (auto* one : {&startedAt, &lastHeard, &probeDue, &heldUntil, &hold, &returnedAt})
             one->push_back(0us);
         for (auto* one : {&rung, &goodProbes}) one->push_back(0);
         for (auto* one : {&withdrawn, &probing, &heard}) one->push_back(0);
@@ -253,7 +253,11 @@
     void rise(double asked, bool mayClimb, Micros now) {
         const double targets = servers.targets();
         double listed = 0;
-        for (Index s = 0; s < servers.size(); ++s) listed += servers.serves(s) ? servers.listed[s] : 0;
+        bool spare = false; // some server is full up: nobody is left without one if a cold one waits
+        for (Index s = 0; s < servers.size(); ++s) {
+            listed += servers.serves(s) ? servers.listed[s] : 0;
+            spare = spare || (servers.serves(s) && servers.rung[s] == kRungs && !servers.withdrawn[s]);
+        }
         for (Index s = 0; s < servers.size(); ++s) {
             if (!servers.serves(s) || servers.rung[s] == kRungs) continue;
             const double warm = warmth(s, now);
@@ -266,15 +270,16 @@
             const bool judged = settledRate > 0 && warm < 1;
             if (mayClimb && next <= kRungs * kColdLean * warm && (!judged || brings(next) <= able))
                 servers.rung[s] = next;
-            while (judged && servers.rung[s] > 0 && brings(servers.rung[s]) > 1.5 * able) --servers.rung[s];
+            while (judged && servers.rung[s] > (spare ? 0 : 1) && brings(servers.rung[s]) > 1.5 * able)
+                --servers.rung[s];
         }
     }
 
     /// How much of its capacity a server has at least, by the slowest warming that the terms allow.
     double warmth(Index s, Micros now) const {
-        if (servers.rampFrom[s] <= 0us || coldSpan <= 0us) return 1;
+        if (servers.startedAt[s] <= 0us || coldSpan <= 0us) return 1;
         return coldShare +
-               (1 - coldShare) * std::clamp(seconds(now - servers.rampFrom[s]) / seconds(coldSpan), 0., 1.);
+               (1 - coldShare) * std::clamp(seconds(now - servers.startedAt[s]) / seconds(coldSpan), 0., 1.);
     }
 
     void tell(Index s, News news, Micros now) {
@@ -295,11 +300,10 @@
             servers.probeDue[s] = now + kProbeEvery;
             servers.goodProbes[s] = 0;
             return;
-        case Enter: servers.rampFrom[s] = servers.startedAt[s]; break;
-        case Return: // it may have come back cold before the list says so: it rises like a new one
-            servers.rampFrom[s] = servers.returnedAt[s] = now;
+        case Enter: break;
+        case Return: servers.returnedAt[s] = now; // if it started anew, the list will say so
         }
-        servers.rung[s] = warmth(s, now) >= 1 ? kRungs : 1;
+        servers.rung[s] = row->effect == Enter && warmth(s, now) >= 1 ? kRungs : 1;
         servers.lastHeard[s] = now;
         servers.tries[s] = servers.unanswered[s] = servers.delay[s] = 0;
     }
@@ -611,7 +615,7 @@
                 const double after =
                     aim / (node.whole + aim - (servers.withdrawn[s] ? 0 : node.table->standing[s]));
                 const double more = node.demand * (after - part(node, s)), residual = capacity[s] - load[s];
-                if (node.demand <= 0 || more <= residual) {
+                if (node.demand <= 0 || node.whole <= 0 || more <= residual) {
                     load[s] += more;
                     go(node, s);
                 } else {
