Levels follow the best settled work for the fleet's weight; stress is the middle server's

Now limits start at what the fleet has settled at its best for the weight that serves, move by the stress off its aim, and the stress is that of the middle server by weight, so that a few slow or sick servers no longer make the whole fleet decline txns. It answers any jam: more txns, dearer txns, lost servers; it harms where more than half of the weight is slow for a cause that declining does not cure.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -35,28 +35,32 @@
 constexpr double kHeadroom = 1.2;                  // ledger capacity over listed share of heard usage
 constexpr int kRungs = 5;                          // a new server rises by fifths
 constexpr Micros kBeat = 100ms;                    // how often an idle planner looks at its clock
-constexpr double kColdLean = 1.25,
-                 kFallPart = 0.5; // how far a rung leads the slowest warming; of the multiple
-constexpr double kOrdinaryRoom = 0.5,
-                 kUrgentRoom = 0.95; // parts of the queue for orders that can wait, or can't
-constexpr double kJoinersSpan = 0.1; // joiners bound at one time: what the channel sends in this (s)
-constexpr double kSumsFade = 0.5, kUsageFade = 0.6; // what a period's figures keep for the next
-constexpr double kSickShare = 0.5, kSickOver = 0.25,
-                 kSickTries = 3;    // unanswered: share, above the rest, on tries
-constexpr double kHangShare = 0.9;  // at this share a quick answer to a probe proves nothing
+constexpr double kColdLean = 1.25;                 // how far a rung may lead the slowest warming
+constexpr double kFallPart = 0.5;     // part of the falling multiple that a cold server is brought
+constexpr double kOrdinaryRoom = 0.5; // part of the queue for orders that can wait
+constexpr double kUrgentRoom = 0.95;  // and for those that can't
+constexpr double kJoinersSpan = 0.1;  // joiners bound at one time: what the channel sends in this (s)
+constexpr double kSumsFade = 0.5, kUsageFade = 0.6;  // what a period's figures keep for the next
+constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
+constexpr double kSickTries = 3;                     // on at least so many tries
+constexpr double kHangShare = 0.9;                   // at this share a quick answer to a probe proves nothing
 constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
 constexpr Micros kSilenceMost = 3s; // a server that is used but in no sums for so long is suspect
 constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
 constexpr int kGoodProbes = 2;      // in a row, before it returns
 constexpr Micros kHoldLeast = 3s, kHoldMost = 24s; // it stays out so long; doubled if it falls sick again
 constexpr Micros kRelapseWithin = 20s;             // within this of its return
-constexpr double kLatePart = 0.8; // a mean delay above this part of the least SLA time is late
-constexpr double kStressHigh = 0.3,
-                 kStressLow = 0.12; // share of tries that fail or are late: less, more let in
-constexpr double kPassDown = 0.12, kPassUp = 0.04, kPassLeast = 0.4; // steps and floor of what is let in
-constexpr double kProductFloor = 0.1;                                // no product is let in less than this
-constexpr double kLevelStep = 0.02; // smaller changes of a level are not worth a line
-constexpr double kNoLimit = 1e6;    // a rate that limits nothing
+constexpr double kLateFrom = 0.4, kLateTo = 1.2;   // mean delay, of the least SLA time: none late, all late
+constexpr double kStressHigh = 0.3;                // share of tries that fail or are late: limits begin
+constexpr double kStressAim = 0.12;                // and what they aim at
+constexpr double kGainStep = 0.3; // a period's move of what is let in, for the stress off its aim
+constexpr double kGainDown = 0.1, kGainUp = 0.03;  // its bounds
+constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
+constexpr double kBestFade = 0.995;                // what a period leaves of the best
+constexpr double kRepeatTrust = 0.02; // part of a rise under stress that is not taken for repeats
+constexpr double kProductFloor = 0.1; // no product is let in less than this
+constexpr double kLevelStep = 0.02;   // smaller changes of a level are not worth a line
+constexpr double kNoLimit = 1e6;      // a rate that limits nothing
 
 double seconds(Micros span) { return static_cast<double>(span.count()) / 1e6; }
 std::string text(double value) { return std::to_string(value).substr(0, 6); }
@@ -194,13 +198,17 @@
         sumsCame = false;
         judgedAt = now;
         settled = 0;
-        double tries = 0, unanswered = 0, late = 0;
+        double tries = 0, unanswered = 0, weight = 0;
+        std::vector<std::pair<double, double>> pressed; // part that fails or is late, and the weight
         for (Index s = 0; s < servers.size(); ++s) {
-            if (!servers.serves(s)) continue;
+            if (!servers.serves(s) || servers.tries[s] <= 0) continue;
             const double good = servers.tries[s] - servers.unanswered[s];
             tries += servers.tries[s];
             unanswered += servers.unanswered[s];
-            if (good > 0 && servers.delay[s] / good > kLatePart * seconds(shortestSla)) late += good;
+            const double mean = good > 0 ? servers.delay[s] / good / seconds(shortestSla) : 1;
+            const double late = good * std::clamp((mean - kLateFrom) / (kLateTo - kLateFrom), 0.0, 1.0);
+            pressed.emplace_back((servers.unanswered[s] + late) / servers.tries[s], servers.target(s));
+            weight += servers.target(s);
         }
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
@@ -218,7 +226,12 @@
             }
             for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay}) (*sum)[s] *= kSumsFade;
         }
-        return tries >= kSickTries ? std::optional((unanswered + late) / tries) : std::nullopt;
+        std::sort(pressed.begin(),
+                  pressed.end()); // the stress of the middle server: few sick ones don't make it
+        double below = 0;
+        for (const auto& [stress, part] : pressed)
+            if ((below += part) >= weight / 2 && tries >= kSickTries) return stress;
+        return {};
     }
 
     void probes(Micros now) {
@@ -416,8 +429,9 @@
     OrderSink& sink;
     const Throttle throttle;
     const std::vector<ProductTerms> products;
-    std::vector<double> pass; // by product: the share let in
-    double letIn = 1;
+    std::vector<double> pass, fresh; // by product: the share let in, and txns a second without repeats
+    bool limited = false;
+    double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
 
     double asked(const Proxies& proxies) const {
         double sum = 0;
@@ -426,25 +440,45 @@
         return sum;
     }
 
-    /// The whole fleet fails or is late: less is let in, first of the product with least revenue for its
-    /// time.
-    void stressed(double stress, const Proxies& proxies) {
-        const double before = letIn;
-        if (stress > kStressHigh) letIn = std::max(kPassLeast, letIn - kPassDown);
-        if (stress < kStressLow) letIn = std::min(1.0, letIn + kPassUp);
-        if ((before < 1) != (letIn < 1))
-            sink.log("let in " + text(before) + " -> " + text(letIn) + ", stress " + text(stress));
+    /// The whole fleet fails or is late: no more is let in than the best that it has settled for its weight,
+    /// more or less by what is seen since; first the product with least revenue for its SLA time gives way.
+    /// Guards against any jam: too many txns, dearer txns, lost servers. Harms where few servers make the
+    /// stress.
+    void stressed(double stress, double settled, double weight, const Proxies& proxies) {
+        std::vector<double> came(products.size(), 0);
+        double passed = 0, work = 0, wanted = 0, spare = 0;
+        for (Index p = 0; p < products.size(); ++p) {
+            for (const auto& [id, proxy] : proxies) came[p] += proxy.usage[p];
+            // Clients whose txn was declined come again: what is wanted is what came before that.
+            const double trust = pass[p] >= 1 && stress < kStressHigh ? 1 : kRepeatTrust;
+            fresh[p] = fresh[p] <= 0 ? came[p] : std::min(came[p], fresh[p] + trust * (came[p] - fresh[p]));
+            passed += came[p] * pass[p];
+            work += came[p] * pass[p] * seconds(products[p].slaTime);
+            wanted += fresh[p] * seconds(products[p].slaTime);
+        }
+        if (passed <= 0 || weight <= 0) return;
+        best = std::max(best * kBestFade, settled * work / passed / weight);
+        const bool before = limited;
+        if (!limited && stress > kStressHigh) {
+            gain = std::min(1.0, wanted / (best * weight));
+            limited = true;
+        }
+        if (limited)
+            gain = std::clamp(gain + std::clamp(kGainStep * (kStressAim - stress), -kGainDown, kGainUp),
+                              kGainLeast, kGainTop);
+        if (stress < kStressAim && wanted <= gain * best * weight) limited = false;
+        if (before != limited)
+            sink.log(std::string(limited ? "limits" : "lets all in") + ": wanted " + text(wanted) +
+                     ", best " + text(best * weight) + ", stress " + text(stress));
         std::vector<Index> order(products.size());
         std::iota(order.begin(), order.end(), Index{0});
-        const auto gain = [&](Index p) { return products[p].revenue / seconds(products[p].slaTime); };
-        std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) { return gain(a) < gain(b); });
-        std::vector<double> work(products.size(), 0);
-        for (const auto& [id, proxy] : proxies)
-            for (Index p = 0; p < work.size(); ++p) work[p] += proxy.usage[p] * seconds(products[p].slaTime);
-        double spare = (1 - letIn) * std::accumulate(work.begin(), work.end(), 0.0);
+        const auto worth = [&](Index p) { return products[p].revenue / seconds(products[p].slaTime); };
+        std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) { return worth(a) < worth(b); });
+        if (limited) spare = std::max(0.0, wanted - gain * best * weight);
         for (const Index p : order) {
-            const double cut = std::min(spare, work[p] * (1 - kProductFloor));
-            pass[p] = work[p] > 0 ? 1 - cut / work[p] : 1;
+            const double part = fresh[p] * seconds(products[p].slaTime);
+            const double cut = std::min(spare, part * (1 - kProductFloor));
+            pass[p] = part > 0 ? 1 - cut / part : 1;
             spare -= cut;
         }
     }
@@ -472,7 +506,7 @@
         std::vector<double> rates;
         for (const auto& [id, proxy] : proxies) rates.push_back(proxy.usage[p]);
         std::sort(rates.begin(), rates.end());
-        double goal = share * std::accumulate(rates.begin(), rates.end(), 0.0);
+        double goal = share * fresh[p];
         for (Index k = 0; share < 1 && k < rates.size(); goal -= rates[k++]) {
             const double even = goal / static_cast<double>(rates.size() - k);
             if (even <= rates[k]) return even;
@@ -674,7 +708,8 @@
           levels_{sink,
                   forwarders.throttle,
                   {products.begin(), products.end()},
-                  std::vector<double>(products.size(), 1.0)},
+                  std::vector<double>(products.size(), 1.0),
+                  std::vector<double>(products.size(), 0.0)},
           rounds_{servers_, proxies_, channel_, sink, {}} {
         for (const bool zoneOnly : {false, true}) {
             ProductSet part = 0;
@@ -717,7 +752,8 @@
         awake_ = true;
         if (mustFollow_) sink_.followList();
         mustFollow_ = false;
-        if (const auto stress = health_.judge(now_)) levels_.stressed(*stress, proxies_);
+        if (const auto stress = health_.judge(now_))
+            levels_.stressed(*stress, health_.settledRate, servers_.targets(), proxies_);
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.resting() || rounds_.answered(now_), now_);
