--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -467,7 +467,7 @@
         return phase == Phase::Sent && sentAt != now &&
                (now - sentAt >= kRoundMost || channel.outbox.answered(mark));
     }
-    bool resting() const { return phase != Phase::Sent; }
+    bool resting() const { return phase == Phase::Idle; }
 
     double target(const Table& table, Index s) const {
         return table.zoneOnly && servers.zone[s] != table.zone ? 0 : targetOf(servers, s);
