A server too slow for its listed share steps down a fifth; lines only for zones in use

The smallest departure: a fifth less, once the sums show 40% failing or late, the middle server is well, and a probe or the load report agrees; it stays so for a minute and climbs a fifth at a time. It answers any server slower than its listing (slow machine, noisy neighbour, half-broken disk). It harms where the sums blame a server for its callers. Weights are still the listed ones in fifths, never a load report.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -18,6 +18,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+
 #include <numeric>
 #include <random>
 #include <string>
@@ -33,10 +35,9 @@
 constexpr int kRungs = 5;                          // a new server rises by fifths
 constexpr Micros kBeat = 100ms;                    // how often an idle planner looks at its clock
 constexpr double kColdLean = 1.25;                 // how far a rung may lead the slowest warming
-constexpr double kFallPart = 0.5;     // part of the falling multiple that a cold server is brought
-constexpr double kOrdinaryRoom = 0.5; // part of the queue for orders that can wait
-constexpr double kUrgentRoom = 0.95;  // and for those that can't
-constexpr double kJoinersSpan = 0.1;  // joiners bound at one time: what the channel sends in this (s)
+constexpr double kFallPart = 0.5; // part of the falling multiple that a cold server is brought
+constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
+constexpr double kJoinersSpan = 0.1; // joiners bound at one time: what the channel sends in this (s)
 constexpr double kSumsFade = 0.5, kUsageFade = 0.6;  // what a period's figures keep for the next
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3;                     // on at least so many tries
@@ -45,13 +46,19 @@
 constexpr Micros kSilenceMost = 3s; // a server that is used but in no sums for so long is suspect
 constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
 constexpr int kGoodProbes = 2;      // in a row, before it returns
-constexpr Micros kHoldLeast = 3s, kHoldMost = 24s; // it stays out so long; doubled if it falls sick again
-constexpr Micros kRelapseWithin = 20s;             // within this of its return
-constexpr double kLateFrom = 0.4, kLateTo = 1.2;   // mean delay, of the least SLA time: none late, all late
-constexpr double kStressHigh = 0.3;                // share of tries that fail or are late: limits begin
-constexpr double kStressAim = 0.12;                // and what they aim at
-constexpr double kGainStep = 0.3; // a period's move of what is let in, for the stress off its aim
-constexpr double kGainDown = 0.1, kGainUp = 0.03;  // its bounds
+constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long; doubled if it falls sick again
+constexpr Micros kRelapseWithin = 20s;              // within this of its return
+constexpr Micros kEaseLeast = 60s; // a server that can't carry its listed share stays a fifth lower so long
+constexpr double kSlowPart = 0.4;  // part of its tries that fail or are late while the middle server is well
+constexpr double kSlowProbe = 0.5,
+                 kHeavy = 2;   // and a probe takes this of the least SLA time, or it holds so much
+constexpr Micros kSettle = 3s; // after a change, before it is judged slow again
+constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
+constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
+constexpr double kStressAim = 0.12;              // and what they aim at
+constexpr double kGainStep = 0.3, kGainDown = 0.1,
+                 kGainUp = 0.03; // a period's move for the stress, its bounds
+
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
 constexpr double kBestFade = 0.995;                // what a period leaves of the best
 constexpr double kRepeatTrust = 0.02; // part of a rise under stress that is not taken for repeats
@@ -61,18 +68,19 @@
 
 std::string text(double value) { return std::to_string(value).substr(0, 6); }
 
-enum class News { Ready, Started, Drains, Gone, SumsBad, SumsGood, ProbeBad, ProbeGood, Rested };
-enum class Effect { Nothing, Enter, Probe, Shut, Return };
+enum class News { Ready, Started, Drains, Gone, SumsBad, SumsGood, ProbeBad, ProbeSlow, ProbeGood, Rested };
+enum class Effect { Nothing, Enter, Probe, Shut, Ease, Return };
 using enum Duty;
 using enum News;
 using enum Effect;
 constexpr Row<Duty, News, Effect> kDuties[] = {
-    {Any, Started, Serving, Enter},     {Any, Drains, Draining, Nothing},
-    {Any, Gone, Absent, Nothing},       {Absent, Ready, Serving, Enter},
-    {Draining, Ready, Serving, Enter},  {Serving, SumsBad, Suspect, Probe},
-    {Suspect, SumsBad, Suspect, Probe}, {Suspect, SumsGood, Serving, Nothing},
-    {Suspect, ProbeBad, ShutOut, Shut}, {Suspect, ProbeGood, Serving, Nothing},
-    {ShutOut, Rested, Serving, Return}};
+    {Any, Started, Serving, Enter},         {Any, Drains, Draining, Nothing},
+    {Any, Gone, Absent, Nothing},           {Absent, Ready, Serving, Enter},
+    {Draining, Ready, Serving, Enter},      {Serving, SumsBad, Suspect, Probe},
+    {Suspect, SumsBad, Suspect, Probe},     {Suspect, SumsGood, Serving, Nothing},
+
+    {Suspect, ProbeBad, ShutOut, Shut},     {Suspect, ProbeSlow, Serving, Ease},
+    {Suspect, ProbeGood, Serving, Nothing}, {ShutOut, Rested, Serving, Return}};
 
 enum class Phase { Idle, Gathering, Sent, Any };
 enum class Tick { Differences, WindowOver, AnsweredMore, Answered };
@@ -133,50 +141,50 @@
         servers.tries[*s] += line.tries;
         servers.unanswered[*s] += failed;
         servers.delay[*s] += good * seconds(line.meanDelay);
+        const auto& report = line.report;
+        servers.load[*s] = report.held.value_or(report.waiting.value_or(report.busyShare.value_or(0)));
         settled += good;
     }
 
     /// Once a period: what do the sums say of each server? Returns the stress of the whole fleet, if heard.
-    std::optional<double> judge(Micros now) {
+    std::optional<double> judge(double usualSla, Micros now) {
         if (!sumsCame || now - judgedAt < sumsPeriod * 9 / 10) return {};
         settledRate = settled / seconds(judgedAt > 0us ? std::max(now - judgedAt, sumsPeriod) : sumsPeriod);
         sumsCame = false;
         judgedAt = now;
         settled = 0;
-        double tries = 0, unanswered = 0, weight = 0;
+        double tries = 0, weight = 0, stress = 0;
         std::vector<std::pair<double, double>> pressed; // part that fails or is late, and the weight
         for (Index s = 0; s < servers.size(); ++s) {
             if (!servers.serves(s) || servers.tries[s] <= 0) continue;
             const double good = servers.tries[s] - servers.unanswered[s];
-            tries += servers.tries[s];
-            unanswered += servers.unanswered[s];
-            const double mean = good > 0 ? servers.delay[s] / good / seconds(shortestSla) : 1;
+            const double mean = good > 0 ? servers.delay[s] / good / usualSla : 1;
             const double late = good * std::clamp((mean - kLateFrom) / (kLateTo - kLateFrom), 0.0, 1.0);
-            pressed.emplace_back((servers.unanswered[s] + late) / servers.tries[s], targetOf(servers, s));
+            servers.pressed[s] = (servers.unanswered[s] + late) / servers.tries[s];
+            pressed.emplace_back(servers.pressed[s], targetOf(servers, s));
+            tries += servers.tries[s];
             weight += targetOf(servers, s);
         }
+        std::ranges::sort(pressed);
+        double above = weight; // the stress of the middle server by weight: few sick ones don't make it
+        for (auto one = pressed.begin(); one != pressed.end() && above > weight / 2; above -= one++->second)
+            stress = one->first;
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
-                const double rest = tries - servers.tries[s];
-                const double usual = rest > 0 ? (unanswered - servers.unanswered[s]) / rest : 0;
                 const double share = servers.tries[s] > 0 ? servers.unanswered[s] / servers.tries[s] : 0;
                 const bool enough = servers.tries[s] >= kSickTries;
                 // Proxies keep away from what fails them, so no line at all is a symptom too.
                 const bool silent = now - servers.lastHeard[s] > kSilenceMost && tries > 10 * kSickTries &&
                                     servers.rung[s] == kRungs && !servers.withdrawn[s];
-                if (silent || (enough && share >= kSickShare && share > usual + kSickOver))
-                    tell(s, SumsBad, now);
-                else if (enough)
-                    tell(s, SumsGood, now);
+                const bool sick = enough && share >= kSickShare && share > stress + kSickOver;
+                const bool slow = enough && servers.pressed[s] >= kSlowPart && stress < kStressAim &&
+                                  servers.rung[s] > 1 && now - servers.changedAt[s] > kSettle;
+                if (silent || sick || slow || enough)
+                    tell(s, silent || sick || slow ? SumsBad : SumsGood, now);
             }
             for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay}) (*sum)[s] *= kSumsFade;
         }
-        std::sort(pressed.begin(),
-                  pressed.end()); // the stress of the middle server: few sick ones don't make it
-        double below = 0;
-        for (const auto& [stress, part] : pressed)
-            if ((below += part) >= weight / 2 && tries >= kSickTries) return stress;
-        return {};
+        return tries >= kSickTries ? std::optional(stress) : std::nullopt;
     }
 
     void probes(Micros now) {
@@ -195,13 +203,23 @@
         const Index s = *found;
         servers.probing[s] = 0;
         if (result.status == ProbeStatus::Rejected) return;
-        // Some probes are shallow and answered while work hangs: where the sums say that next to nothing is
-        // answered, a quick answer does not clear the server. Harms one that failed by chance.
-        const bool hung = servers.duty[s] == Suspect && servers.tries[s] >= kSickTries &&
-                          servers.unanswered[s] >= kHangShare * servers.tries[s];
-        const bool good = result.status == ProbeStatus::Answered && result.delay < shortestSla && !hung;
+        // Some probes are shallow and answered while work hangs or waits: a quick answer clears neither a
+        // server that answers next to nothing nor one that holds far more than the others for its weight.
+        const double share = servers.tries[s] > 0 ? servers.unanswered[s] / servers.tries[s] : 0;
+        const double usual =
+            sumOver(servers, [&](Index k) { return servers.serves(k) ? servers.load[k] : 0; }) /
+            sumOver(servers, [&](Index k) { return targetOf(servers, k); });
+        const bool hung = servers.duty[s] == Suspect && servers.tries[s] >= kSickTries && share >= kHangShare;
+        const bool answers = result.status == ProbeStatus::Answered && result.delay < shortestSla && !hung;
+        const bool heavy = seconds(result.delay) > kSlowProbe * seconds(shortestSla) ||
+                           servers.load[s] > kHeavy * usual * targetOf(servers, s);
+        const bool good = answers && (servers.duty[s] == ShutOut || !heavy);
         servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
-        tell(s, good ? ProbeGood : ProbeBad, now);
+        tell(s,
+             good                                                ? ProbeGood
+             : share >= kSickShare || servers.duty[s] == ShutOut ? ProbeBad
+                                                                 : ProbeSlow,
+             now);
         if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
     }
 
@@ -226,8 +244,11 @@
             };
             const int next = servers.rung[s] + 1;
             const bool judged = settledRate > 0 && warm < 1;
-            if (mayClimb && next <= kRungs * kColdLean * warm && (!judged || brings(next) <= able))
+            if (mayClimb && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
+                (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
+                if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
+            }
             while (judged && servers.rung[s] > (spare ? 0 : 1) && brings(servers.rung[s]) > 1.5 * able)
                 --servers.rung[s];
         }
@@ -251,18 +272,22 @@
         case Nothing: return;
         case Probe: servers.probeDue[s] = now; return;
         case Shut:
-            servers.hold[s] = servers.returnedAt[s] > 0us && now - servers.returnedAt[s] < kRelapseWithin
-                                  ? std::min(servers.hold[s] * 2, kHoldMost)
-                                  : kHoldLeast;
+        case Ease: {
+            const Micros least = row->effect == Shut ? kHoldLeast : kEaseLeast;
+            const bool relapse =
+                servers.hold[s] > 0us && now - servers.changedAt[s] < servers.hold[s] + kRelapseWithin;
+            servers.hold[s] = relapse ? std::min(std::max(servers.hold[s], least) * 2, kHoldMost) : least;
             servers.heldUntil[s] = now + servers.hold[s];
             servers.probeDue[s] = now + kProbeEvery;
             servers.goodProbes[s] = 0;
-            return;
-        case Enter: break;
-        case Return: servers.returnedAt[s] = now; // if it started anew, the list will say so
+            if (row->effect == Shut) return;
+            --servers.rung[s];
+            break;
+        }
+        case Enter: servers.rung[s] = warmth(s, now) >= 1 ? kRungs : 1; break;
+        case Return: servers.rung[s] = 1; // if it started anew, the list will say so
         }
-        servers.rung[s] = row->effect == Enter && warmth(s, now) >= 1 ? kRungs : 1;
-        servers.lastHeard[s] = now;
+        servers.changedAt[s] = servers.lastHeard[s] = now;
         servers.tries[s] = servers.unanswered[s] = servers.delay[s] = 0;
     }
 
@@ -295,7 +320,7 @@
         std::vector<std::pair<double, ProxyId>> order;
         for (const auto& [id, proxy] : proxies)
             if (!proxy.bound) order.emplace_back(-proxy.rate(), id);
-        std::sort(order.begin(), order.end());
+        std::ranges::sort(order);
         double budget = std::min(room, linesPerSecond * kJoinersSpan);
         const auto out = std::count(servers.withdrawn.begin(), servers.withdrawn.end(), 1);
         for (const auto& [rate, id] : order) {
@@ -333,11 +358,18 @@
     bool limited = false;
     double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
 
+    /// The mean SLA time of what comes.
+    double usualSla(const Proxies& proxies) const {
+        const auto came = usageOf(proxies, products.size());
+        double work = 0;
+        for (Index p = 0; p < came.size(); ++p) work += came[p] * seconds(products[p].slaTime);
+        return work > 0 ? work / std::accumulate(came.begin(), came.end(), 0.0)
+                        : seconds(products[0].slaTime);
+    }
+    /// Txns a second that are let in.
     double asked(const Proxies& proxies) const {
-        double sum = 0;
-        for (const auto& [id, proxy] : proxies)
-            for (Index p = 0; p < pass.size(); ++p) sum += proxy.usage[p] * pass[p];
-        return sum;
+        const auto came = usageOf(proxies, products.size());
+        return std::inner_product(came.begin(), came.end(), pass.begin(), 0.0);
     }
 
     /// The whole fleet fails or is late: no more is let in than the best that it has settled for its weight,
@@ -345,10 +377,9 @@
     /// Guards against any jam: too many txns, dearer txns, lost servers. Harms where few servers make the
     /// stress.
     void stressed(double stress, double settled, double weight, const Proxies& proxies) {
-        std::vector<double> came(products.size(), 0);
+        const std::vector<double> came = usageOf(proxies, products.size());
         double passed = 0, work = 0, wanted = 0, spare = 0;
         for (Index p = 0; p < products.size(); ++p) {
-            for (const auto& [id, proxy] : proxies) came[p] += proxy.usage[p];
             // Clients whose txn was declined come again: what is wanted is what came before that.
             const double trust = pass[p] >= 1 && stress < kStressHigh ? 1 : kRepeatTrust;
             fresh[p] = fresh[p] <= 0 ? came[p] : std::min(came[p], fresh[p] + trust * (came[p] - fresh[p]));
@@ -373,7 +404,7 @@
         std::vector<Index> order(products.size());
         std::iota(order.begin(), order.end(), Index{0});
         const auto worth = [&](Index p) { return products[p].revenue / seconds(products[p].slaTime); };
-        std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) { return worth(a) < worth(b); });
+        std::ranges::stable_sort(order, {}, worth);
         if (limited) spare = std::max(0.0, wanted - gain * best * weight);
         for (const Index p : order) {
             const double part = fresh[p] * seconds(products[p].slaTime);
@@ -388,14 +419,14 @@
             for (Index p = 0; p < products.size(); ++p) {
                 if (!(table.products >> p & 1U)) continue;
                 const double level = levelAt(std::min(1.0, pass[p] * table.slowed), p, proxies);
-                const FurtherTries tries = FurtherTries::AfterProof; // safe for every product
+
                 const auto before = table.levels.find(p);
-                if (before != table.levels.end() && table.tries[p] == tries &&
+                if (before != table.levels.end() &&
                     std::abs(level - before->second) <= kLevelStep * std::max(level, before->second))
                     continue;
-                sink.admit(table.id, static_cast<ProductSet>(1U << p), level, tries);
+                sink.admit(table.id, static_cast<ProductSet>(1U << p), level, FurtherTries::AfterProof);
                 table.levels[p] = level;
-                table.tries[p] = tries;
+
                 channel.outbox.charge(table, 1);
             }
     }
@@ -405,7 +436,7 @@
         if (throttle != Throttle::Rate) return share;
         std::vector<double> rates;
         for (const auto& [id, proxy] : proxies) rates.push_back(proxy.usage[p]);
-        std::sort(rates.begin(), rates.end());
+        std::ranges::sort(rates);
         double goal = share * fresh[p];
         for (Index k = 0; share < 1 && k < rates.size(); goal -= rates[k++]) {
             const double even = goal / static_cast<double>(rates.size() - k);
@@ -455,9 +486,9 @@
             if (row->effect == Move::SendStep) step(now);
         }
         for (Index s = 0; s < servers.size(); ++s) // let in again once every table has it at its present rung
-            if (servers.serves(s) && servers.withdrawn[s] &&
-                std::all_of(tables.begin(), tables.end(),
-                            [&](auto& table) { return table.standing[s] == target(table, s); }))
+            if (servers.serves(s) && servers.withdrawn[s] && std::ranges::all_of(tables, [&](auto& table) {
+                    return table.standing[s] == target(table, s);
+                }))
                 withdraw(s, false);
     }
     void sent(std::optional<MarkId> number, Micros now) {
@@ -469,8 +500,11 @@
     }
     bool resting() const { return phase == Phase::Idle; }
 
+    /// A zone where no proxy has joined needs no lines.
     double target(const Table& table, Index s) const {
-        return table.zoneOnly && servers.zone[s] != table.zone ? 0 : targetOf(servers, s);
+        const bool idle =
+            std::ranges::none_of(proxies, [&](auto& one) { return one.second.zone == table.zone; });
+        return idle || (table.zoneOnly && servers.zone[s] != table.zone) ? 0 : targetOf(servers, s);
     }
     double demand(const Table& table) const {
         double sum = 0;
@@ -480,7 +514,7 @@
         return sum;
     }
     bool differs() const {
-        return std::any_of(tables.begin(), tables.end(), [&](const Table& table) {
+        return std::ranges::any_of(tables, [&](const Table& table) {
             for (Index s = 0; s < servers.size(); ++s)
                 if (target(table, s) != table.standing[s]) return true;
             return false;
@@ -488,9 +522,8 @@
     }
     /// No table names a server yet: nothing is gathered, the first lines go at once.
     bool bare() const {
-        return std::all_of(tables.begin(), tables.end(), [](const Table& table) {
-            return std::all_of(table.standing.begin(), table.standing.end(),
-                               [](double one) { return one <= 0; });
+        return std::ranges::all_of(tables, [](const Table& table) {
+            return std::ranges::all_of(table.standing, [](double one) { return one <= 0; });
         });
     }
     void withdraw(Index s, bool out) {
@@ -538,8 +571,7 @@
         for (const auto& node : nodes) // releases; a table that serves nobody and the dead skip the fit check
             for (const Index s : node.downs)
                 if (node.demand <= 0 || node.ups.empty() || !servers.serves(s)) go(node, s);
-        std::stable_sort(nodes.begin(), nodes.end(),
-                         [](const Node& a, const Node& b) { return a.downs.size() > b.downs.size(); });
+        std::ranges::stable_sort(nodes, std::greater{}, [](const Node& node) { return node.downs.size(); });
         const Node* least = nullptr;
         double leastRatio = 2, leastPart = 0;
         for (const auto& node : nodes) {
@@ -594,7 +626,7 @@
                   fleet.mayProbe,
                   fleet.weightsListed,
                   fleet.sumsPeriod,
-                  std::min_element(products.begin(), products.end(), sooner)->slaTime,
+                  std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime,
                   guards.coldSpan,
                   guards.coldShare,
                   guards.fallMultiple,
@@ -652,7 +684,7 @@
         awake_ = true;
         if (mustFollow_) sink_.followList();
         mustFollow_ = false;
-        if (const auto stress = health_.judge(now_))
+        if (const auto stress = health_.judge(levels_.usualSla(proxies_), now_))
             levels_.stressed(*stress, health_.settledRate, targetsOf(servers_), proxies_);
         health_.probes(now_);
         if (!channel_.open(now_)) return;
@@ -669,7 +701,7 @@
 private:
     OrderSink& sink_;
     const bool sliced_;
-    static bool sooner(const ProductTerms& a, const ProductTerms& b) { return a.slaTime < b.slaTime; }
+
     bool mustFollow_, awake_ = false;
     Micros now_{};
     Servers servers_;
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -41,10 +41,10 @@
     std::vector<ServerId> id;
     std::vector<ZoneId> zone;
     std::vector<Duty> duty;
-    std::vector<Micros> startedAt, lastHeard, probeDue, heldUntil, hold, returnedAt;
+    std::vector<Micros> startedAt, lastHeard, probeDue, heldUntil, hold, changedAt;
     std::vector<int> rung, goodProbes;
     std::vector<char> withdrawn, probing, heard; // withdrawn: ordered out of all tables
-    std::vector<double> listed, tries, unanswered, delay;
+    std::vector<double> listed, tries, unanswered, delay, pressed, load;
 
     Index size() const { return id.size(); }
     Index add(const ListedServer& entry) {
@@ -53,11 +53,11 @@
         id.push_back(entry.id);
         zone.push_back(entry.zone);
         duty.push_back(Duty::Absent);
-        for (auto* one : {&startedAt, &lastHeard, &probeDue, &heldUntil, &hold, &returnedAt})
+        for (auto* one : {&startedAt, &lastHeard, &probeDue, &heldUntil, &hold, &changedAt})
             one->push_back(Micros{});
         for (auto* one : {&rung, &goodProbes}) one->push_back(0);
         for (auto* one : {&withdrawn, &probing, &heard}) one->push_back(0);
-        for (auto* one : {&listed, &tries, &unanswered, &delay}) one->push_back(0);
+        for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load}) one->push_back(0);
         return at->second;
     }
     const Index* find(ServerId server) const {
@@ -77,15 +77,22 @@
 };
 using Proxies = std::map<ProxyId, Proxy>;
 
+/// Txns a second of each product, of all proxies.
+inline std::vector<double> usageOf(const Proxies& proxies, Index products) {
+    std::vector<double> out(products, 0);
+    for (const auto& [id, proxy] : proxies)
+        for (Index p = 0; p < products; ++p) out[p] += proxy.usage[p];
+    return out;
+}
+
 struct Table {
     TableId id;
     ZoneId zone;
     bool zoneOnly;
     ProductSet products;
-    std::vector<double> standing = {};        // weight of each server as last ordered
-    std::map<Index, double> levels = {};      // by product, as last ordered
-    std::map<Index, FurtherTries> tries = {}; // the same
-    double slowed = 1;                        // the share at which a deadlocked table moves
+    std::vector<double> standing = {};   // weight of each server as last ordered
+    std::map<Index, double> levels = {}; // by product, as last ordered
+    double slowed = 1;                   // the share at which a deadlocked table moves
     bool serves(const Proxy& proxy) const { return proxy.bound && proxy.zone == zone; }
 };
 
