A cold server waits at none at the onset of stress; sums fade by the second

Now the stress is taken from the last second alone, and a cold server waits at none from a stress of 0.2 for 3 s, as long as a warm one serves; after that it is brought what the stress leaves of its bound. It guards against any sudden collapse beside a cold server; it harms where cold servers are most of the fleet.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -7,12 +7,12 @@
 // The ordinary path is the design (docs/design.md): listed weights minus withdrawn servers, gathered over a
 // window, merged into differences, checked against a ledger, sent in rounds, add before shrink.
 // Beside the design stand six mechanisms:
-//   1 health          a server whose sums are bad or silent is probed, and shut out if the probe agrees
+//   1 health          bad or silent sums lead to a probe; if it agrees, a server is shut out or eased
 //   2 return          a shut-out server comes back after good probes, by fifths, the wait doubling on relapse
-//   3 levels          under stress of the whole fleet the product with least revenue for its time is let in
-//   less 4 further tries   a product's way of trying again follows from what may run twice 5 channel pacing
-//   unanswered lines bound the queue: urgent first, then joiners, then rounds 6 starting over   nothing is
-//   trusted after a start: all proxies are bound anew, busiest first
+//   3 levels          under stress of the whole fleet the least revenue for its time is let in less
+//   4 further tries   proxies try again only after proof that nothing ran: safe for every product
+//   5 channel pacing  unanswered lines bound the queue: urgent first, then joiners, then rounds
+//   6 starting over   nothing is trusted after a start: all proxies are bound anew, busiest first
 #include "planner/planner.h"
 #include "planner/state.h"
 
@@ -38,33 +38,33 @@
 constexpr double kFallPart = 0.5; // part of the falling multiple that a cold server is brought
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr double kJoinersSpan = 0.1; // joiners bound at one time: what the channel sends in this (s)
-constexpr double kSumsFade = 0.5, kUsageFade = 0.6;  // what a period's figures keep for the next
+constexpr double kSumsFade = 0.2, kUsageFade = 0.6; // what a second leaves of the sums, a period of the usage
+constexpr double kPressedFade = 0.5;                // the same for a server's own pressure
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
-constexpr double kSickTries = 3;                     // on at least so many tries
-constexpr double kHangShare = 0.9;                   // at this share a quick answer to a probe proves nothing
+constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
 constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
 constexpr Micros kSilenceMost = 3s; // a server that is used but in no sums for so long is suspect
 constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
 constexpr int kGoodProbes = 2;      // in a row, before it returns
-constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long; doubled if it falls sick again
-constexpr Micros kRelapseWithin = 20s;              // within this of its return
+constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long, doubled on a relapse
+constexpr Micros kRelapse = 20s;                    // within this of its return
 constexpr Micros kEaseLeast = 60s; // a server that can't carry its listed share stays a fifth lower so long
 constexpr double kSlowPart = 0.4;  // part of its tries that fail or are late while the middle server is well
 constexpr double kSlowProbe = 0.5,
-                 kHeavy = 2;   // and a probe takes this of the least SLA time, or it holds so much
-constexpr Micros kSettle = 3s; // after a change, before it is judged slow again
+                 kHeavy = 2; // and a probe takes this of the least SLA time, or holds so much
+constexpr Micros kSettle = 3s,
+                 kOnset = 3s; // after a change, before new doubts; until limits show in the sums
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12;              // and what they aim at
-constexpr double kGainStep = 0.3, kGainDown = 0.1,
-                 kGainUp = 0.03; // a period's move for the stress, its bounds
-
+constexpr double kOnsetStress = 0.2;             // above it a cold server waits at none for that long
+constexpr double kGainStep = 0.3, kGainDown = 0.1, kGainUp = 0.03; // moves a second for the stress, bounds
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
 constexpr double kBestFade = 0.995;                // what a period leaves of the best
 constexpr double kRepeatTrust = 0.02; // part of a rise under stress that is not taken for repeats
 constexpr double kProductFloor = 0.1; // no product is let in less than this
-constexpr double kLevelStep = 0.02;   // smaller changes of a level are not worth a line
-constexpr double kNoLimit = 1e6;      // a rate that limits nothing
+constexpr double kLevelStep = 0.02,
+                 kNoLimit = 1e6; // smaller changes aren't worth a line; a rate without limit
 
 std::string text(double value) { return std::to_string(value).substr(0, 6); }
 
@@ -112,9 +112,9 @@
     const Micros sumsPeriod, shortestSla, coldSpan;
     const double coldShare, fallMultiple;
     std::mt19937 chance;
-    Micros judgedAt{};
+    Micros judgedAt{}, calmAt{};
     bool sumsCame = false;
-    double settled = 0, settledRate = 0;
+    double settled = 0, settledRate = 0, stress = 0;
 
     void list(bool whole, std::span<const ListedServer> entries, Micros now) {
         std::vector<char> named(servers.size(), 0);
@@ -141,27 +141,29 @@
         servers.tries[*s] += line.tries;
         servers.unanswered[*s] += failed;
         servers.delay[*s] += good * seconds(line.meanDelay);
-        const auto& report = line.report;
-        servers.load[*s] = report.held.value_or(report.waiting.value_or(report.busyShare.value_or(0)));
+        servers.load[*s] = line.report.held.value_or(line.report.waiting.value_or(0));
         settled += good;
     }
 
     /// Once a period: what do the sums say of each server? Returns the stress of the whole fleet, if heard.
     std::optional<double> judge(double usualSla, Micros now) {
         if (!sumsCame || now - judgedAt < sumsPeriod * 9 / 10) return {};
-        settledRate = settled / seconds(judgedAt > 0us ? std::max(now - judgedAt, sumsPeriod) : sumsPeriod);
+        const double span = seconds(judgedAt > 0us ? std::max(now - judgedAt, sumsPeriod) : sumsPeriod);
+        settledRate = settled / span;
         sumsCame = false;
         judgedAt = now;
         settled = 0;
-        double tries = 0, weight = 0, stress = 0;
+        double tries = 0, weight = 0;
+        stress = 0;
         std::vector<std::pair<double, double>> pressed; // part that fails or is late, and the weight
         for (Index s = 0; s < servers.size(); ++s) {
             if (!servers.serves(s) || servers.tries[s] <= 0) continue;
             const double good = servers.tries[s] - servers.unanswered[s];
             const double mean = good > 0 ? servers.delay[s] / good / usualSla : 1;
             const double late = good * std::clamp((mean - kLateFrom) / (kLateTo - kLateFrom), 0.0, 1.0);
-            servers.pressed[s] = (servers.unanswered[s] + late) / servers.tries[s];
-            pressed.emplace_back(servers.pressed[s], targetOf(servers, s));
+            const double part = (servers.unanswered[s] + late) / servers.tries[s];
+            servers.pressed[s] = part + std::pow(kPressedFade, span) * (servers.pressed[s] - part);
+            pressed.emplace_back(part, targetOf(servers, s));
             tries += servers.tries[s];
             weight += targetOf(servers, s);
         }
@@ -169,6 +171,7 @@
         double above = weight; // the stress of the middle server by weight: few sick ones don't make it
         for (auto one = pressed.begin(); one != pressed.end() && above > weight / 2; above -= one++->second)
             stress = one->first;
+        if (stress <= kOnsetStress) calmAt = now;
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
                 const double share = servers.tries[s] > 0 ? servers.unanswered[s] / servers.tries[s] : 0;
@@ -182,7 +185,8 @@
                 if (silent || sick || slow || enough)
                     tell(s, silent || sick || slow ? SumsBad : SumsGood, now);
             }
-            for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay}) (*sum)[s] *= kSumsFade;
+            for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay})
+                (*sum)[s] *= std::pow(kSumsFade, span);
         }
         return tries >= kSickTries ? std::optional(stress) : std::nullopt;
     }
@@ -215,41 +219,42 @@
                            servers.load[s] > kHeavy * usual * targetOf(servers, s);
         const bool good = answers && (servers.duty[s] == ShutOut || !heavy);
         servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
-        tell(s,
-             good                                                ? ProbeGood
-             : share >= kSickShare || servers.duty[s] == ShutOut ? ProbeBad
-                                                                 : ProbeSlow,
-             now);
+        const News bad = share >= kSickShare || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
+        tell(s, good ? ProbeGood : bad, now);
         if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
     }
 
-    /// A risen server goes up a fifth a round, yet no faster than the slowest warming allows. Guards against
-    /// a cold server that falls over: under a jam's repeats even a fifth can be too much, so it may wait at
-    /// none.
+    /// A server climbs a fifth a round, no faster than the slowest warming allows. Guards a cold one
+    /// against falling over: under a jam's repeats even a fifth can be too much, so it may wait at none.
     void rise(double asked, bool mayClimb, Micros now) {
         const double targets = targetsOf(servers);
         double listed = 0;
-        bool spare = false; // some server is full up: nobody is left without one if a cold one waits
+        // Proxies that avoid what fails them heap their txns on what still answers: at the onset of stress,
+        // before limits can show, a cold server waits at none.
+        const bool onset = stress > kOnsetStress && now - calmAt < kOnset;
+        bool spare = false; // some server is warm: nobody is left without one if a cold one waits
         for (Index s = 0; s < servers.size(); ++s) {
             listed += servers.serves(s) ? servers.listed[s] : 0;
-            spare = spare || (servers.serves(s) && servers.rung[s] == kRungs && !servers.withdrawn[s]);
+            spare |= targetOf(servers, s) > 0 && warmth(s, now) >= 1 && !servers.withdrawn[s];
         }
         for (Index s = 0; s < servers.size(); ++s) {
             if (!servers.serves(s) || servers.rung[s] == kRungs) continue;
             const double warm = warmth(s, now);
-            const double able = kFallPart * fallMultiple * warm * settledRate * servers.listed[s] / listed;
+            const double able =
+                kFallPart * fallMultiple * warm * (1 - stress) * settledRate * servers.listed[s] / listed;
             const auto brings = [&](int rung) {
                 const double weight = servers.listed[s] * rung / kRungs;
                 return asked * weight / std::max(targets - targetOf(servers, s) + weight, weight);
             };
             const int next = servers.rung[s] + 1;
             const bool judged = settledRate > 0 && warm < 1;
-            if (mayClimb && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
+            if (mayClimb && !onset && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
                 (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
-            while (judged && servers.rung[s] > (spare ? 0 : 1) && brings(servers.rung[s]) > 1.5 * able)
+            while (judged && servers.rung[s] > (spare ? 0 : 1) &&
+                   (onset || brings(servers.rung[s]) > 1.5 * able))
                 --servers.rung[s];
         }
     }
@@ -257,16 +262,16 @@
     /// How much of its capacity a server has at least, by the slowest warming that the terms allow.
     double warmth(Index s, Micros now) const {
         if (servers.startedAt[s] <= 0us || coldSpan <= 0us) return 1;
-        return coldShare +
-               (1 - coldShare) * std::clamp(seconds(now - servers.startedAt[s]) / seconds(coldSpan), 0., 1.);
+        const double part = std::clamp(seconds(now - servers.startedAt[s]) / seconds(coldSpan), 0., 1.);
+        return coldShare + (1 - coldShare) * part;
     }
 
     void tell(Index s, News news, Micros now) {
         const auto* row = read(kDuties, servers.duty[s], [&](News input) { return input == news; });
         if (!row || (row->effect == Shut && !mayShut(s))) return;
         if ((row->next == ShutOut) != (servers.duty[s] == ShutOut))
-            sink.log((row->next == ShutOut ? "shut out server " : "back: server ") + std::to_string(s) +
-                     ", tries " + text(servers.tries[s]) + ", unanswered " + text(servers.unanswered[s]));
+            sink.log((row->next == ShutOut ? "out: " : "back: ") + std::to_string(s) + ", tries " +
+                     text(servers.tries[s]) + ", failed " + text(servers.unanswered[s]));
         servers.duty[s] = row->next;
         switch (row->effect) {
         case Nothing: return;
@@ -274,14 +279,14 @@
         case Shut:
         case Ease: {
             const Micros least = row->effect == Shut ? kHoldLeast : kEaseLeast;
-            const bool relapse =
-                servers.hold[s] > 0us && now - servers.changedAt[s] < servers.hold[s] + kRelapseWithin;
-            servers.hold[s] = relapse ? std::min(std::max(servers.hold[s], least) * 2, kHoldMost) : least;
+            const bool again =
+                servers.hold[s] > 0us && now - servers.changedAt[s] < servers.hold[s] + kRelapse;
+            servers.hold[s] = again ? std::min(std::max(servers.hold[s], least) * 2, kHoldMost) : least;
             servers.heldUntil[s] = now + servers.hold[s];
             servers.probeDue[s] = now + kProbeEvery;
             servers.goodProbes[s] = 0;
             if (row->effect == Shut) return;
-            --servers.rung[s];
+            servers.rung[s] -= servers.rung[s] > 1;
             break;
         }
         case Enter: servers.rung[s] = warmth(s, now) >= 1 ? kRungs : 1; break;
@@ -293,9 +298,7 @@
 
     /// If nearly all looks sick, the view is doubted, not the fleet: health shuts out only so much of it.
     bool mayShut(Index s) const {
-        const auto out = [&](Index k) {
-            return servers.duty[k] == ShutOut || k == s ? servers.listed[k] : 0;
-        };
+        const auto out = [&](Index k) { return (servers.duty[k] == ShutOut || k == s) * servers.listed[k]; };
         const auto all = [&](Index k) { return servers.serves(k) ? servers.listed[k] : out(k); };
         return sumOver(servers, out) <= kDoubtPart * sumOver(servers, all);
     }
@@ -306,13 +309,16 @@
     Proxies& proxies;
     OrderSink& sink;
     const double linesPerSecond, headLines, queueMost;
-    const Micros gap;
+    const std::uint32_t messagesMost;
+    const Micros messagesOver;
     Outbox outbox{proxies};
     std::optional<Micros> sentAt = {};
     std::uint32_t marks = 0;
 
     /// Where messages to a proxy are counted, the gap alone keeps the count: no batch writes sooner.
-    bool open(Micros now) const { return !sentAt || now - *sentAt >= gap; }
+    bool open(Micros now) const {
+        return !sentAt || messagesMost < 2 || now - *sentAt >= messagesOver / (messagesMost - 1);
+    }
     double room(double part) const { return part * queueMost - outbox.lines(); }
 
     /// Proxies that keep an old table are bound a few at a time, busiest first.
@@ -353,8 +359,11 @@
 struct Levels {
     OrderSink& sink;
     const Throttle throttle;
+    const Micros period; // of the sums
+
     const std::vector<ProductTerms> products;
-    std::vector<double> pass, fresh; // by product: the share let in, and txns a second without repeats
+    std::vector<double> pass = std::vector<double>(products.size(), 1);  // by product: the share let in
+    std::vector<double> fresh = std::vector<double>(products.size(), 0); // txns a second without repeats
     bool limited = false;
     double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
 
@@ -374,8 +383,8 @@
 
     /// The whole fleet fails or is late: no more is let in than the best that it has settled for its weight,
     /// more or less by what is seen since; first the product with least revenue for its SLA time gives way.
-    /// Guards against any jam: too many txns, dearer txns, lost servers. Harms where few servers make the
-    /// stress.
+    /// Guards against any jam: too many txns, dearer txns, lost servers. Harms if half the fleet is slow.
+
     void stressed(double stress, double settled, double weight, const Proxies& proxies) {
         const std::vector<double> came = usageOf(proxies, products.size());
         double passed = 0, work = 0, wanted = 0, spare = 0;
@@ -395,12 +404,13 @@
             limited = true;
         }
         if (limited)
-            gain = std::clamp(gain + std::clamp(kGainStep * (kStressAim - stress), -kGainDown, kGainUp),
+            gain = std::clamp(gain + seconds(period) *
+                                         std::clamp(kGainStep * (kStressAim - stress), -kGainDown, kGainUp),
                               kGainLeast, kGainTop);
         if (stress < kStressAim && wanted <= gain * best * weight) limited = false;
         if (before != limited)
-            sink.log(std::string(limited ? "limits" : "lets all in") + ": wanted " + text(wanted) +
-                     ", best " + text(best * weight) + ", stress " + text(stress));
+            sink.log((limited ? "limits: wanted " : "lets all in: wanted ") + text(wanted) + ", best " +
+                     text(best * weight) + ", stress " + text(stress));
         std::vector<Index> order(products.size());
         std::iota(order.begin(), order.end(), Index{0});
         const auto worth = [&](Index p) { return products[p].revenue / seconds(products[p].slaTime); };
@@ -594,8 +604,7 @@
         if (sent || !least) return;
         // Deadlock: the least loss moves, slowed by the part of its demand that its step brings too much of.
         least->table->slowed = std::clamp(1 - leastRatio * leastPart / least->demand, 0.0, 1.0);
-        sink.log("deadlock: table " + std::to_string(least->table->id.value) + " at " +
-                 text(least->table->slowed));
+        sink.log("deadlock: table " + text(least->table->id.value) + " at " + text(least->table->slowed));
         for (const Index s : least->ups) go(*least, s);
     }
     double part(const Node& node, Index s) const {
@@ -621,28 +630,13 @@
             const ChannelTerms& channel, const GuardTerms& guards, std::span<const ProductTerms> products,
             OrderSink& sink)
         : sink_(sink), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
-          health_{servers_,
-                  sink,
-                  fleet.mayProbe,
-                  fleet.weightsListed,
-                  fleet.sumsPeriod,
-                  std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime,
-                  guards.coldSpan,
-                  guards.coldShare,
-                  guards.fallMultiple,
-                  std::mt19937(static_cast<std::uint32_t>(seed))},
-          channel_{proxies_,
-                   sink,
-                   channel.linesPerSecond,
-                   channel.headLines,
-                   channel.queueMost,
-                   channel.messagesMost > 1 ? channel.messagesOver / (channel.messagesMost - 1) : 0us},
-          levels_{sink,
-                  forwarders.throttle,
-                  {products.begin(), products.end()},
-                  std::vector<double>(products.size(), 1.0),
-                  std::vector<double>(products.size(), 0.0)},
-          rounds_{servers_, proxies_, channel_, sink, {}} {
+          health_(servers_, sink, fleet.mayProbe, fleet.weightsListed, fleet.sumsPeriod,
+                  std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime, guards.coldSpan,
+                  guards.coldShare, guards.fallMultiple, std::mt19937(static_cast<std::uint32_t>(seed))),
+          channel_(proxies_, sink, channel.linesPerSecond, channel.headLines, channel.queueMost,
+                   channel.messagesMost, channel.messagesOver),
+          levels_(sink, forwarders.throttle, fleet.sumsPeriod, std::vector(products.begin(), products.end())),
+          rounds_(servers_, proxies_, channel_, sink, {}) {
         for (const bool zoneOnly : {false, true}) {
             ProductSet part = 0;
             for (Index p = 0; p < products.size(); ++p)
