--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -58,7 +58,8 @@
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12;              // and what they aim at
 constexpr double kOnsetStress = 0.2;             // above it a cold server waits at none for that long
-constexpr double kGainStep = 0.3, kGainDown = 0.1, kGainUp = 0.03; // moves a second for the stress, bounds
+constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06; // moves a second for the stress, bounds
+constexpr double kGainFirst = 0.85;                // at the onset also for what waits in the queues
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
 constexpr double kBestFade = 0.995;                // what a period leaves of the best
 constexpr double kRepeatTrust = 0.02; // part of a rise under stress that is not taken for repeats
@@ -365,6 +366,7 @@
     std::vector<double> pass = std::vector<double>(products.size(), 1);  // by product: the share let in
     std::vector<double> fresh = std::vector<double>(products.size(), 0); // txns a second without repeats
     bool limited = false;
+    Micros blind{};            // no moves until this has passed
     double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
 
     /// The mean SLA time of what comes.
@@ -400,13 +402,13 @@
         best = std::max(best * kBestFade, settled * work / passed / weight);
         const bool before = limited;
         if (!limited && stress > kStressHigh) {
-            gain = std::min(1.0, wanted / (best * weight));
+            gain = kGainFirst * std::min(1.0, wanted / (best * weight));
+            blind = kOnset;
             limited = true;
+        } else if (limited && (blind -= period) <= 0us) { // sums tell of limits only after a while
+            const double move = std::clamp(kGainStep * (kStressAim - stress), -kGainDown, kGainUp);
+            gain = std::clamp(gain + seconds(period) * move, kGainLeast, kGainTop);
         }
-        if (limited)
-            gain = std::clamp(gain + seconds(period) *
-                                         std::clamp(kGainStep * (kStressAim - stress), -kGainDown, kGainUp),
-                              kGainLeast, kGainTop);
         if (stress < kStressAim && wanted <= gain * best * weight) limited = false;
         if (before != limited)
             sink.log((limited ? "limits: wanted " : "lets all in: wanted ") + text(wanted) + ", best " +
