A probe that only waits eases a server that still answers; only dead or mute ones are shut out

It guards against any avalanche of shut-outs; it harms where a half-dead server's probes only time out, which then sheds load by fifths.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -220,7 +220,10 @@
                            servers.load[s] > kHeavy * usual * targetOf(servers, s);
         const bool good = answers && (servers.duty[s] == ShutOut || !heavy);
         servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
-        const News bad = share >= kSickShare || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
+        // A probe that only waits too long tells of load where some txns are still answered: less is sent, not none.
+        const bool dead = result.status != ProbeStatus::Answered && result.status != ProbeStatus::TimedOut;
+        const News bad =
+            (dead && share >= kSickShare) || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
         tell(s, good ? ProbeGood : bad, now);
         if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
     }
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -185,11 +185,22 @@
     EXPECT_TRUE(world->withdrawn.empty());
 }
 
+TEST(Health, AServerThatStillAnswersIsEasedNotShutOutByAProbeThatWaits) {
+    const auto world = settled(6);
+    for (int k = 0; k < 3; ++k) {
+        world->sums(20, [](auto id) { return id == 2 ? 0.7 : 0.0; });
+        world->answerProbes(ProbeStatus::TimedOut);
+        world->pass(1s);
+    }
+    EXPECT_TRUE(world->withdrawn.empty());
+    EXPECT_LT(weightOf(*world, 2), 1);
+}
+
 TEST(Health, AConfirmedServerIsShutOutAndComesBackByFifths) {
     const auto world = settled(6);
     world->sums(20, [](auto id) { return id == 2 ? 0.8 : 0.0; });
     EXPECT_EQ(world->probes, std::vector<ServerId>{{2}});
-    world->answerProbes(ProbeStatus::TimedOut);
+    world->answerProbes(ProbeStatus::Unreachable);
     world->pass(500ms);
     EXPECT_TRUE(world->withdrawn.contains({2}));
     for (int k = 0; k < 16 && world->withdrawn.contains({2}); ++k)
