--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -38,8 +38,8 @@
 constexpr double kFallPart = 0.5; // part of the falling multiple that a cold server is brought
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr double kJoinersSpan = 0.1; // joiners bound at one time: what the channel sends in this (s)
-constexpr double kSumsFade = 0.2, kUsageFade = 0.6; // what a second leaves of the sums, a period of the usage
-constexpr double kPressedFade = 0.5;                // the same for a server's own pressure
+constexpr double kSumsFade = 0.2, kUsageFade = 0.3;  // what a second leaves of the sums, and of a usage
+constexpr double kPressedFade = 0.5;                 // the same for a server's own pressure
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
 constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
@@ -672,7 +672,8 @@
         if (found == proxies_.end() || line.product.value >= levels_.products.size() || line.span <= 0us)
             return;
         double& rate = found->second.usage[line.product.value];
-        rate = kUsageFade * rate + (1 - kUsageFade) * line.txns / seconds(line.span);
+        const double heard = line.txns / seconds(line.span);
+        rate = heard + std::pow(kUsageFade, seconds(line.span)) * (rate - heard);
     }
     void applied(ProxyId id, MarkId number) override { channel_.outbox.applied(id, number); }
     void probed(const ProbeResult& result) override { health_.probed(result, now_); }
