A table without a line to pick is filled at once; half-warm servers stay at the onset of stress

Now a table that has no line left, whatever took the last one, gets every target at once, past window and round, and no server stands at none without a warm one. It also serves the first lines after a start, so that case is gone.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -18,7 +18,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 
 #include <numeric>
 #include <random>
@@ -57,8 +56,8 @@
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12,
-                 kJump = 1.2;        // what they aim at; or above it, if so much over the best comes
-constexpr double kOnsetStress = 0.2; // above it a cold server waits at none for that long
+                 kJump = 1.2; // what they aim at; or above it, if so much over the best comes
+constexpr double kOnsetStress = 0.2, kStillCold = 0.8; // above it, one less warm waits at none for that long
 constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06; // moves a second for the stress, bounds
 constexpr double kGainFirst = 0.85;                // at the onset also for what waits in the queues
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
@@ -244,6 +243,7 @@
         }
         for (Index s = 0; s < servers.size(); ++s) {
             if (!servers.serves(s) || servers.rung[s] == kRungs) continue;
+            if (!spare) servers.rung[s] = std::max(servers.rung[s], 1);
             const double warm = warmth(s, now);
             const double able =
                 kFallPart * fallMultiple * warm * (1 - stress) * settledRate * servers.listed[s] / listed;
@@ -259,7 +259,7 @@
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
             while (judged && servers.rung[s] > (spare ? 0 : 1) &&
-                   (onset || brings(servers.rung[s]) > 1.5 * able))
+                   ((onset && warm < kStillCold) || brings(servers.rung[s]) > 1.5 * able))
                 --servers.rung[s];
         }
     }
@@ -436,13 +436,10 @@
                 if (!(table.products >> p & 1U)) continue;
                 const double level = levelAt(std::min(1.0, pass[p] * table.slowed), p, proxies);
 
-                const auto before = table.levels.find(p);
-                if (before != table.levels.end() &&
-                    std::abs(level - before->second) <= kLevelStep * std::max(level, before->second))
-                    continue;
+                double& before = table.levels.try_emplace(p, -1.0).first->second;
+                if (std::abs(level - before) <= kLevelStep * std::max(level, before)) continue;
                 sink.admit(table.id, static_cast<ProductSet>(1U << p), level, FurtherTries::AfterProof);
-                table.levels[p] = level;
-
+                before = level;
                 channel.outbox.charge(table, 1);
             }
     }
@@ -486,13 +483,21 @@
                     channel.room(kUrgentRoom) >= each)
                     line(table, s);
         }
+        // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
+        for (auto& table : tables)
+            if (sumOver(servers, [&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
+                for (Index s = 0; s < servers.size(); ++s) {
+                    if (target(table, s) <= 0 || channel.room(kUrgentRoom) < each) continue;
+                    line(table, s);
+                    if (servers.withdrawn[s]) withdraw(s, false);
+                }
     }
 
     void play(Micros now) {
         for (bool moved = true; moved;) {
             moved = false;
             const bool over = answered(now), more = differs();
-            const bool input[] = {more, now - windowAt >= kWindow || bare(), over && more, over};
+            const bool input[] = {more, now - windowAt >= kWindow, over && more, over};
             const auto* row = read(kPhases, phase, [&](Tick tick) { return input[static_cast<int>(tick)]; });
             if (!row) break;
             if (phase == Phase::Sent)
@@ -537,12 +542,6 @@
             return false;
         });
     }
-    /// No table names a server yet: nothing is gathered, the first lines go at once.
-    bool bare() const {
-        return std::ranges::all_of(tables, [](const Table& table) {
-            return std::ranges::all_of(table.standing, [](double one) { return one <= 0; });
-        });
-    }
     void withdraw(Index s, bool out) {
         sink.withdraw(servers.id[s], out);
         servers.withdrawn[s] = out;
@@ -588,7 +587,7 @@
         for (const auto& node : nodes) // releases; a table that serves nobody and the dead skip the fit check
             for (const Index s : node.downs)
                 if (node.demand <= 0 || node.ups.empty() || !servers.serves(s)) go(node, s);
-        std::ranges::stable_sort(nodes, std::greater{}, [](const Node& node) { return node.downs.size(); });
+        std::ranges::stable_sort(nodes, {}, [](const Node& node) { return -std::ssize(node.downs); });
         const Node* least = nullptr;
         double leastRatio = 2, leastPart = 0;
         for (const auto& node : nodes) {
