--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -56,8 +56,8 @@
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12,
-                 kJump = 1.2; // what they aim at; or above it, if so much over the best comes
-constexpr double kOnsetStress = 0.2, kStillCold = 0.8; // above it, one less warm waits at none for that long
+                 kJump = 1.2;        // what they aim at; or above it, if so much over the best comes
+constexpr double kOnsetStress = 0.2; // above it a cold server waits at none for that long
 constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06; // moves a second for the stress, bounds
 constexpr double kGainFirst = 0.85;                // at the onset also for what waits in the queues
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
@@ -259,7 +259,7 @@
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
             while (judged && servers.rung[s] > (spare ? 0 : 1) &&
-                   ((onset && warm < kStillCold) || brings(servers.rung[s]) > 1.5 * able))
+                   (onset || brings(servers.rung[s]) > 1.5 * able))
                 --servers.rung[s];
         }
     }
