--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -610,7 +610,8 @@
         if (sent || !least) return;
         // Deadlock: the least loss moves, slowed by the part of its demand that its step brings too much of.
         least->table->slowed = std::clamp(1 - leastRatio * leastPart / least->demand, 0.0, 1.0);
-        sink.log("deadlock: table " + text(least->table->id.value) + " at " + text(least->table->slowed));
+        sink.log("deadlock: table " + std::to_string(least->table->id.value) + " at " +
+                 text(least->table->slowed));
         for (const Index s : least->ups) go(*least, s);
     }
     double part(const Node& node, Index s) const {
