--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -220,7 +220,7 @@
                            servers.load[s] > kHeavy * usual * targetOf(servers, s);
         const bool good = answers && (servers.duty[s] == ShutOut || !heavy);
         servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
-        // A probe that only waits too long tells of load where some txns are still answered: less is sent, not none.
+        // A probe that only waits tells of load where some txns are still answered: less is sent, not none.
         const bool dead = result.status != ProbeStatus::Answered && result.status != ProbeStatus::TimedOut;
         const News bad =
             (dead && share >= kSickShare) || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
@@ -610,8 +610,7 @@
         if (sent || !least) return;
         // Deadlock: the least loss moves, slowed by the part of its demand that its step brings too much of.
         least->table->slowed = std::clamp(1 - leastRatio * leastPart / least->demand, 0.0, 1.0);
-        sink.log("deadlock: table " + std::to_string(least->table->id.value) + " at " +
-                 text(least->table->slowed));
+        sink.log("deadlock: " + std::to_string(least->table->id.value) + " at " + text(least->table->slowed));
         for (const Index s : least->ups) go(*least, s);
     }
     double part(const Node& node, Index s) const {
