--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,4 +1,4 @@
-// The decision module without the bench: random days with the rules checked after every step, and plain cases.
+// The decision module without the bench: random days with the rules checked at every step, and plain cases.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
