--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -18,7 +18,6 @@
 
 #include <algorithm>
 #include <cmath>
-
 #include <numeric>
 #include <random>
 #include <string>
@@ -79,7 +78,6 @@
     {Any, Gone, Absent, Nothing},           {Absent, Ready, Serving, Enter},
     {Draining, Ready, Serving, Enter},      {Serving, SumsBad, Suspect, Probe},
     {Suspect, SumsBad, Suspect, Probe},     {Suspect, SumsGood, Serving, Nothing},
-
     {Suspect, ProbeBad, ShutOut, Shut},     {Suspect, ProbeSlow, Serving, Ease},
     {Suspect, ProbeGood, Serving, Nothing}, {ShutOut, Rested, Serving, Return}};
 
@@ -175,7 +173,7 @@
         if (stress <= kOnsetStress) calmAt = now;
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
-                const double share = servers.tries[s] > 0 ? servers.unanswered[s] / servers.tries[s] : 0;
+                const double share = servers.failing(s);
                 const bool enough = servers.tries[s] >= kSickTries;
                 // Proxies keep away from what fails them, so no line at all is a symptom too.
                 const bool silent = now - servers.lastHeard[s] > kSilenceMost && tries > 10 * kSickTries &&
@@ -210,7 +208,7 @@
         if (result.status == ProbeStatus::Rejected) return;
         // Some probes are shallow and answered while work hangs or waits: a quick answer clears neither a
         // server that answers next to nothing nor one that holds far more than the others for its weight.
-        const double share = servers.tries[s] > 0 ? servers.unanswered[s] / servers.tries[s] : 0;
+        const double share = servers.failing(s);
         const double usual =
             sumOver(servers, [&](Index k) { return servers.serves(k) ? servers.load[k] : 0; }) /
             sumOver(servers, [&](Index k) { return targetOf(servers, k); });
@@ -435,7 +433,6 @@
             for (Index p = 0; p < products.size(); ++p) {
                 if (!(table.products >> p & 1U)) continue;
                 const double level = levelAt(std::min(1.0, pass[p] * table.slowed), p, proxies);
-
                 double& before = table.levels.try_emplace(p, -1.0).first->second;
                 if (std::abs(level - before) <= kLevelStep * std::max(level, before)) continue;
                 sink.admit(table.id, static_cast<ProductSet>(1U << p), level, FurtherTries::AfterProof);
@@ -702,7 +699,6 @@
 private:
     OrderSink& sink_;
     const bool sliced_;
-
     bool mustFollow_, awake_ = false;
     Micros now_{};
     Servers servers_;
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -64,6 +64,7 @@
         const auto found = index.find(server);
         return found == index.end() ? nullptr : &found->second;
     }
+    double failing(Index s) const { return tries[s] > 0 ? unanswered[s] / tries[s] : 0; }
     bool serves(Index s) const { return duty[s] == Duty::Serving || duty[s] == Duty::Suspect; }
 };
 
