Lines on their way are judged in order of leaving; what can wait leaves the channel free

At full size a message to every proxy takes the channel a quarter of a second or more. Now an answer tells that all before it has left, what can wait takes half a second of the channel beyond its transit, and urgent orders gather while more than that is under way.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -35,7 +35,9 @@
 constexpr double kColdLean = 1.25;                 // how far a rung may lead the slowest warming
 constexpr double kFallPart = 0.5; // part of the falling multiple that a cold server is brought
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
-constexpr double kJoinersSpan = 0.1; // joiners bound at one time: what the channel sends in this (s)
+constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
+constexpr double kOldLines = 2;    // for a server, old tables are taken to name it so much more often than on average
+constexpr Micros kForgotten = 20s; // messages without an answer for so long have left the channel
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3;  // what a second leaves of the sums, and of a usage
 constexpr double kPressedFade = 0.5;                 // the same for a server's own pressure
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
@@ -311,9 +313,9 @@
 struct Channel {
     Proxies& proxies;
     OrderSink& sink;
-    const double linesPerSecond, headLines, queueMost;
+    const double linesPerSecond, headLines, queueMost, standingLines;
     const std::uint32_t messagesMost;
-    const Micros messagesOver;
+    const Micros messagesOver, meanTransit;
     Outbox outbox{proxies, headLines};
     std::optional<Micros> sentAt = {};
     std::uint32_t marks = 0;
@@ -322,37 +324,48 @@
     bool open(Micros now) const {
         return !sentAt || messagesMost < 2 || now - *sentAt >= messagesOver / (messagesMost - 1);
     }
-    double room(double part) const { return part * queueMost - outbox.lines(); }
+    /// Lines for the proxies that keep an old table, which name only a few of `all` servers.
+    void chargeOld(Index all) {
+        const double part = std::min(1.0, kOldLines * standingLines / static_cast<double>(all));
+        const auto count = std::ranges::count_if(proxies, [](auto& one) { return !one.second.bound; });
+        outbox.stagedLines += part * static_cast<double>(count) * (headLines + 2);
+    }
+    double room() const { return kUrgentRoom * queueMost - outbox.lines(); }
+    /// For what can wait, beside what is on its way: the queue stays short for what can't.
+    double spare(Micros span) const {
+        const double most = linesPerSecond * seconds(meanTransit + span);
+        return std::min(most, kOrdinaryRoom * queueMost) - outbox.lines();
+    }
 
     /// Proxies that keep an old table are bound a few at a time, busiest first.
-    void joiners(const std::vector<Table>& tables, const Servers& servers, double room) {
+    void joiners(const std::vector<Table>& tables, const Servers& servers, double budget) {
+        if (targetsOf(servers) <= 0) return;
         std::vector<std::pair<double, ProxyId>> order;
         for (const auto& [id, proxy] : proxies)
             if (!proxy.bound) order.emplace_back(-proxy.rate(), id);
         std::ranges::sort(order);
-        double budget = std::min(room, linesPerSecond * kJoinersSpan);
-        const auto out = std::count(servers.withdrawn.begin(), servers.withdrawn.end(), 1);
         for (const auto& [rate, id] : order) {
-            if (budget <= 0 || targetsOf(servers) <= 0) return;
+            if (budget <= 0) return;
             Proxy& proxy = proxies[id];
             proxy.bound = true;
+            const double before = outbox.stagedLines;
             for (const auto& table : tables) {
                 if (!table.serves(proxy)) continue;
                 sink.bind(id, table.products, table.id);
-                proxy.staged += 1 + static_cast<double>(table.standing.size() + table.levels.size()) +
-                                static_cast<double>(out);
+                const auto held = std::ranges::count_if(table.standing, [](double w) { return w > 0; });
+                outbox.stage(proxy, 1 + static_cast<double>(held + std::ssize(table.levels)));
             }
-            budget -= proxy.staged + headLines + 1;
+            budget -= outbox.stagedLines - before;
         }
     }
 
     /// Closes the message of every proxy that something was ordered for with a mark; marks wrap under 65536.
     std::optional<MarkId> send(Micros now) {
-        if (!outbox.staged()) return {};
+        if (outbox.stagedLines <= 0) return {};
         marks = marks % 65535 + 1;
         const MarkId mark{static_cast<std::uint16_t>(marks)};
         sink.mark(mark, false);
-        outbox.close(mark);
+        outbox.close(mark, now);
         sentAt = now;
         return mark;
     }
@@ -437,7 +450,7 @@
                 if (std::abs(level - before) <= kLevelStep * std::max(level, before)) continue;
                 sink.admit(table.id, static_cast<ProductSet>(1U << p), level, FurtherTries::AfterProof);
                 before = level;
-                channel.outbox.charge(table, 1);
+                channel.outbox.charge([&](auto& proxy) { return table.serves(proxy); }, 1);
             }
     }
 
@@ -469,25 +482,21 @@
 
     /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
     void urgent() {
-        for (auto& table : tables) table.standing.resize(servers.size(), 0);
         const double each =
             static_cast<double>(proxies.size()) * (2 + channel.headLines); // a message to each
         for (Index s = 0; s < servers.size(); ++s) {
-            if (!servers.serves(s) && !servers.withdrawn[s] && channel.room(kUrgentRoom) >= each)
-                withdraw(s, true);
+            const bool out = !servers.serves(s) && !servers.withdrawn[s];
             for (auto& table : tables)
-                if (servers.serves(s) && servers.rung[s] < kRungs && table.standing[s] > target(table, s) &&
-                    channel.room(kUrgentRoom) >= each)
+                if ((out || servers.rung[s] < kRungs) && table.standing[s] > target(table, s) &&
+                    channel.room() >= each)
                     line(table, s);
+            if (out && channel.room() >= each) withdraw(s, true); // only old tables hold it now
         }
         // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
         for (auto& table : tables)
             if (sumOver(servers, [&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
-                for (Index s = 0; s < servers.size(); ++s) {
-                    if (target(table, s) <= 0 || channel.room(kUrgentRoom) < each) continue;
-                    line(table, s);
-                    if (servers.withdrawn[s]) withdraw(s, false);
-                }
+                for (Index s = 0; s < servers.size(); ++s)
+                    if (target(table, s) > 0 && channel.room() >= each) line(table, s);
     }
 
     void play(Micros now) {
@@ -504,11 +513,6 @@
             if (row->effect == Move::OpenWindow) windowAt = now;
             if (row->effect == Move::SendStep) step(now);
         }
-        for (Index s = 0; s < servers.size(); ++s) // let in again once every table has it at its present rung
-            if (servers.serves(s) && servers.withdrawn[s] && std::ranges::all_of(tables, [&](auto& table) {
-                    return table.standing[s] == target(table, s);
-                }))
-                withdraw(s, false);
     }
     void sent(std::optional<MarkId> number, Micros now) {
         if (phase == Phase::Sent && sentAt == now) mark = number;
@@ -542,12 +546,13 @@
     void withdraw(Index s, bool out) {
         sink.withdraw(servers.id[s], out);
         servers.withdrawn[s] = out;
-        channel.outbox.charge(1);
+        channel.chargeOld(servers.size());
     }
     void line(Table& table, Index s) {
         table.standing[s] = target(table, s);
+        if (table.standing[s] > 0 && servers.withdrawn[s]) withdraw(s, false);
         sink.setLine(table.id, servers.id[s], table.standing[s]);
-        channel.outbox.charge(table, 1);
+        channel.outbox.charge([&](auto& proxy) { return table.serves(proxy); }, 1);
     }
 
     struct Node {
@@ -577,7 +582,7 @@
         capacities(capacity, usage);
         bool sent = false;
         const auto go = [&](const Node& node, Index s) {
-            if (channel.room(kOrdinaryRoom) <= 0) return;
+            if (channel.spare(kBatch) <= 0) return;
             line(*node.table, s);
             sent = true;
         };
@@ -636,8 +641,8 @@
           health_(servers_, sink, fleet.mayProbe, fleet.weightsListed, fleet.sumsPeriod,
                   std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime, guards.coldSpan,
                   guards.coldShare, guards.fallMultiple, std::mt19937(static_cast<std::uint32_t>(seed))),
-          channel_(proxies_, sink, channel.linesPerSecond, channel.headLines, channel.queueMost,
-                   channel.messagesMost, channel.messagesOver),
+          channel_(proxies_, sink, channel.linesPerSecond, channel.headLines, channel.queueMost, forwarders.standingLines,
+                   channel.messagesMost, channel.messagesOver, channel.meanTransit),
           levels_(sink, forwarders.throttle, fleet.sumsPeriod, std::vector(products.begin(), products.end())),
           rounds_(servers_, proxies_, channel_, sink, {}) {
         for (const bool zoneOnly : {false, true}) {
@@ -659,10 +664,11 @@
     }
     void joined(ProxyId id, ZoneId zone, double usualRate) override {
         const Index products = levels_.products.size();
+        left(id);
         proxies_[id] = {zone, false,
                         std::vector<double>(products, usualRate / static_cast<double>(products))};
     }
-    void left(ProxyId id) override { proxies_.erase(id); }
+    void left(ProxyId id) override { channel_.outbox.left(id); }
     void sums(const ServerSums& line) override { health_.sums(line, now_); }
     void usage(const UsageSums& line) override {
         const auto found = proxies_.find(line.proxy);
@@ -687,11 +693,15 @@
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.resting() || rounds_.answered(now_), now_);
-        rounds_.urgent();
-        if (channel_.room(kOrdinaryRoom) > 0) {
+        channel_.outbox.forgetBefore(now_ - kForgotten);
+        const bool idle = channel_.spare(kIdle) > 0;
+        for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
+        if (channel_.spare(kBatch) > 0) rounds_.urgent();
+        if (idle) {
+            channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch) / 2);
             rounds_.play(now_);
             levels_.order(rounds_.tables, proxies_, channel_);
-            channel_.joiners(rounds_.tables, servers_, channel_.room(kOrdinaryRoom));
+            channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch));
         }
         rounds_.sent(channel_.send(now_), now_);
     }
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -97,49 +97,73 @@
     bool serves(const Proxy& proxy) const { return proxy.bound && proxy.zone == zone; }
 };
 
-/// The lines on their way to each proxy: staged in this batch, or sent and not yet answered. What is not
-/// answered bounds what waits in the channel, however slow that is just now.
+/// The lines on their way: staged in this batch, or sent and perhaps still in the channel. Messages leave in
+/// order, so an answer to one tells that all sent before it have left.
 struct Outbox {
+    struct Batch {
+        MarkId mark;
+        Micros sentAt;
+        double lines;  // that may still wait in the channel
+        Index awaited; // bound proxies whose answer is missing
+    };
     Proxies& proxies;
     const double headLines; // of a message; its mark is a line more
+    double stagedLines = 0;
+    std::deque<Batch> batches = {};
 
     double lines() const {
-        double sum = 0;
-        for (const auto& [id, proxy] : proxies) {
-            sum += proxy.staged > 0 ? proxy.staged + headLines + 1 : 0;
-            for (const auto& [mark, lines] : proxy.waiting) sum += lines;
-        }
-        return sum;
-    }
-    bool staged() const {
-        return std::any_of(proxies.begin(), proxies.end(),
-                           [](const auto& one) { return one.second.staged > 0; });
+        return std::accumulate(batches.begin(), batches.end(), stagedLines,
+                               [](double sum, const Batch& one) { return sum + one.lines; });
     }
-    void charge(double lines) {
-        for (auto& [id, proxy] : proxies) proxy.staged += lines;
+    void stage(Proxy& proxy, double lines) {
+        stagedLines += lines + (proxy.staged > 0 ? 0 : headLines + 1);
+        proxy.staged += lines;
     }
-    void charge(const Table& table, double lines) {
-        for (auto& [id, proxy] : proxies) proxy.staged += table.serves(proxy) ? lines : 0;
+    void charge(const auto& concerns, double lines) {
+        for (auto& [id, proxy] : proxies)
+            if (concerns(proxy)) stage(proxy, lines);
     }
-    void close(MarkId mark) {
+    void close(MarkId mark, Micros now) {
+        Batch batch{mark, now, std::exchange(stagedLines, 0), 0};
         for (auto& [id, proxy] : proxies) {
-            if (proxy.staged > 0) proxy.waiting.emplace_back(mark, proxy.staged + headLines + 1);
-            proxy.staged = 0;
+            const double lines = std::exchange(proxy.staged, 0);
+            if (lines <= 0 || !proxy.bound) continue; // one that keeps its old table may get no message
+            proxy.waiting.emplace_back(mark, lines + headLines + 1);
+            ++batch.awaited;
         }
+        batches.push_back(batch);
     }
     void applied(ProxyId id, MarkId number) {
         const auto found = proxies.find(id);
-        if (found == proxies.end()) return;
+        const auto newest = std::ranges::find(batches, number, &Batch::mark);
+        if (found == proxies.end() || newest == batches.end()) return;
+        for (auto one = batches.begin(); one != newest; ++one) one->lines = 0;
         auto& waiting = found->second.waiting;
-        const auto at =
-            std::find_if(waiting.begin(), waiting.end(), [&](auto& one) { return one.first == number; });
-        if (at != waiting.end()) waiting.erase(waiting.begin(), at + 1);
+        const auto at = std::ranges::find(waiting, number, &std::pair<MarkId, double>::first);
+        if (at != waiting.end()) settle(waiting, at + 1);
+    }
+    void left(ProxyId id) {
+        const auto found = proxies.find(id);
+        if (found == proxies.end()) return;
+        settle(found->second.waiting, found->second.waiting.end());
+        proxies.erase(found);
+    }
+    void forgetBefore(Micros time) {
+        while (!batches.empty() && batches.front().sentAt < time) batches.pop_front();
     }
     bool answered(std::optional<MarkId> number) const {
-        for (const auto& [id, proxy] : proxies)
-            for (const auto& [mark, lines] : proxy.waiting)
-                if (number && mark == *number) return false;
-        return true;
+        return std::ranges::none_of(
+            batches, [&](const Batch& one) { return number && one.mark == *number && one.awaited > 0; });
+    }
+
+private:
+    void settle(auto& waiting, auto end) {
+        for (auto one = waiting.begin(); one != end; ++one) {
+            const auto batch = std::ranges::find(batches, one->first, &Batch::mark);
+            if (batch == batches.end()) continue;
+            batch->lines = --batch->awaited ? std::max(batch->lines - one->second, 0.0) : 0;
+        }
+        waiting.erase(waiting.begin(), end);
     }
 };
 
