--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -43,7 +43,9 @@
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
 constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
-constexpr Micros kSilenceMost = 3s; // a server that is used but in no sums for so long is suspect
+constexpr Micros kSilenceMost = 3s;   // a server that is in no sums for so long, beside the time that a view
+constexpr double kSilenceTries = 10; // takes, is suspect if so many tries were to be expected
+constexpr double kViewStep = 0.02; // part by which a line moves the time that a view is taken to need
 constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
 constexpr int kGoodProbes = 2;      // in a row, before it returns
 constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long, doubled on a relapse
@@ -116,6 +118,7 @@
     Micros judgedAt{}, calmAt{};
     bool sumsCame = false;
     double settled = 0, settledRate = 0, stress = 0;
+    double view = 0; // seconds from one line of a server to its next: more than a period if reports pile up
 
     void list(bool whole, std::span<const ListedServer> entries, Micros now) {
         std::vector<char> named(servers.size(), 0);
@@ -139,6 +142,7 @@
         sumsCame = true;
         servers.heard[*s] = 1;
         servers.lastHeard[*s] = now;
+        view += kViewStep * (std::max(seconds(line.span), seconds(sumsPeriod)) - view);
         servers.tries[*s] += line.tries;
         servers.unanswered[*s] += failed;
         servers.delay[*s] += good * seconds(line.meanDelay);
@@ -173,13 +177,15 @@
         for (auto one = pressed.begin(); one != pressed.end() && above > weight / 2; above -= one++->second)
             stress = one->first;
         if (stress <= kOnsetStress) calmAt = now;
+        const double all = targetsOf(servers);
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
                 const double share = servers.failing(s);
                 const bool enough = servers.tries[s] >= kSickTries;
                 // Proxies keep away from what fails them, so no line at all is a symptom too.
-                const bool silent = now - servers.lastHeard[s] > kSilenceMost && tries > 10 * kSickTries &&
-                                    servers.rung[s] == kRungs && !servers.withdrawn[s];
+                const double unheard = seconds(now - servers.lastHeard[s]);
+                const bool silent = unheard > seconds(kSilenceMost - sumsPeriod) + view && !servers.withdrawn[s] &&
+                                    unheard * settledRate * targetOf(servers, s) > kSilenceTries * all;
                 const bool sick = enough && share >= kSickShare && share > stress + kSickOver;
                 const bool slow = enough && servers.pressed[s] >= kSlowPart && stress < kStressAim &&
                                   servers.rung[s] > 1 && now - servers.changedAt[s] > kSettle;
@@ -210,7 +216,7 @@
         if (result.status == ProbeStatus::Rejected) return;
         // Some probes are shallow and answered while work hangs or waits: a quick answer clears neither a
         // server that answers next to nothing nor one that holds far more than the others for its weight.
-        const double share = servers.failing(s);
+        const double share = servers.failing(s), answered = servers.tries[s] - servers.unanswered[s];
         const double usual =
             sumOver(servers, [&](Index k) { return servers.serves(k) ? servers.load[k] : 0; }) /
             sumOver(servers, [&](Index k) { return targetOf(servers, k); });
@@ -221,9 +227,10 @@
         const bool good = answers && (servers.duty[s] == ShutOut || !heavy);
         servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
         // A probe that only waits tells of load where some txns are still answered: less is sent, not none.
-        const bool dead = result.status != ProbeStatus::Answered && result.status != ProbeStatus::TimedOut;
-        const News bad =
-            (dead && share >= kSickShare) || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
+        const bool mute = answered <= (1 - kHangShare) * servers.tries[s];
+        const bool dead = result.status != ProbeStatus::Answered &&
+                          (mute || (result.status != ProbeStatus::TimedOut && share >= kSickShare));
+        const News bad = dead || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
         tell(s, good ? ProbeGood : bad, now);
         if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
     }
