--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -479,6 +479,7 @@
 /// The design: targets, differences, the ledger and rounds.
 struct Rounds {
     Servers& servers;
+    const Health& health;
     Proxies& proxies;
     Channel& channel;
     OrderSink& sink;
@@ -488,13 +489,13 @@
     std::optional<MarkId> mark = {};
 
     /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
-    void urgent() {
+    void urgent(bool idle, Micros now) {
         const double each =
             static_cast<double>(proxies.size()) * (2 + channel.headLines); // a message to each
         for (Index s = 0; s < servers.size(); ++s) {
             const bool out = !servers.serves(s) && !servers.withdrawn[s];
             for (auto& table : tables)
-                if ((out || servers.rung[s] < kRungs) && table.standing[s] > target(table, s) &&
+                if ((out || health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs)) && table.standing[s] > target(table, s) &&
                     channel.room() >= each)
                     line(table, s);
             if (out && channel.room() >= each) withdraw(s, true); // only old tables hold it now
@@ -651,7 +652,7 @@
           channel_(proxies_, sink, channel.linesPerSecond, channel.headLines, channel.queueMost, forwarders.standingLines,
                    channel.messagesMost, channel.messagesOver, channel.meanTransit),
           levels_(sink, forwarders.throttle, fleet.sumsPeriod, std::vector(products.begin(), products.end())),
-          rounds_(servers_, proxies_, channel_, sink, {}) {
+          rounds_(servers_, health_, proxies_, channel_, sink, {}) {
         for (const bool zoneOnly : {false, true}) {
             ProductSet part = 0;
             for (Index p = 0; p < products.size(); ++p)
@@ -703,7 +704,7 @@
         channel_.outbox.forgetBefore(now_ - kForgotten);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
-        if (channel_.spare(kBatch) > 0) rounds_.urgent();
+        if (channel_.spare(kBatch) > 0) rounds_.urgent(idle, now_);
         if (idle) {
             channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch) / 2);
             rounds_.play(now_);
