Limits count failures only beside slow answers

Also guards against errors and refused connections in kinds on no list; harms if a jam shows only failures.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -158,9 +158,8 @@
         sumsCame = false;
         judgedAt = now;
         settled = 0;
-        double tries = 0, weight = 0;
-        stress = 0;
-        std::vector<std::pair<double, double>> pressed; // part that fails or is late, and the weight
+        double tries = 0;
+        std::vector<std::pair<double, double>> pressed, jammed; // part that fails or is late, and the weight
         for (Index s = 0; s < servers.size(); ++s) {
             if (!servers.serves(s) || servers.tries[s] <= 0) continue;
             const double good = servers.tries[s] - servers.unanswered[s];
@@ -169,13 +168,13 @@
             const double part = (servers.unanswered[s] + late) / servers.tries[s];
             servers.pressed[s] = part + std::pow(kPressedFade, span) * (servers.pressed[s] - part);
             pressed.emplace_back(part, targetOf(servers, s));
+            // Failures tell of a jam only beside slow answers: lost answers and errors aren't cured by limits.
+            const double slow = std::clamp(mean / kLateFrom, 0.0, 1.0);
+            jammed.emplace_back(part - (1 - slow) * servers.failing(s), targetOf(servers, s));
             tries += servers.tries[s];
-            weight += targetOf(servers, s);
         }
-        std::ranges::sort(pressed);
-        double above = weight; // the stress of the middle server by weight: few sick ones don't make it
-        for (auto one = pressed.begin(); one != pressed.end() && above > weight / 2; above -= one++->second)
-            stress = one->first;
+        stress = middle(pressed); // few sick ones don't make it
+        const double jam = middle(jammed);
         if (stress <= kOnsetStress) calmAt = now;
         const double all = targetsOf(servers);
         for (Index s = 0; s < servers.size(); ++s) {
@@ -195,7 +194,16 @@
             for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay})
                 (*sum)[s] *= std::pow(kSumsFade, span);
         }
-        return tries >= kSickTries ? std::optional(stress) : std::nullopt;
+        return tries >= kSickTries ? std::optional(jam) : std::nullopt;
+    }
+    /// The figure of the middle server by weight.
+    static double middle(std::vector<std::pair<double, double>>& figures) {
+        double rest = 0;
+        for (const auto& [figure, weight] : figures) rest += weight / 2;
+        std::ranges::sort(figures);
+        for (const auto& [figure, weight] : figures)
+            if ((rest -= weight) <= 0) return figure;
+        return 0;
     }
 
     void probes(Micros now) {
