--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -169,7 +169,7 @@
             servers.pressed[s] = part + std::pow(kPressedFade, span) * (servers.pressed[s] - part);
             pressed.emplace_back(part, targetOf(servers, s));
             // Failures tell of a jam only beside slow answers: lost answers and errors aren't cured by limits.
-            const double slow = std::clamp(mean / kLateFrom, 0.0, 1.0);
+            const double slow = std::clamp(2 * mean / kLateFrom - 1, 0.0, 1.0);
             jammed.emplace_back(part - (1 - slow) * servers.failing(s), targetOf(servers, s));
             tries += servers.tries[s];
         }
