Silence is counted in whole views and tries, not in time

At size a view of the fleet takes several periods, and at a start 60 of 273 healthy servers were taken for silent and shut out at 5 s.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -20,6 +20,7 @@
 #include <cmath>
 #include <numeric>
 #include <random>
+#include <set>
 #include <string>
 
 namespace zincstack {
@@ -43,9 +44,8 @@
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
 constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
-constexpr Micros kSilenceMost = 3s;   // a server that is in no sums for so long, beside the time that a view
-constexpr double kSilenceTries = 10; // takes, is suspect if so many tries were to be expected
-constexpr double kViewStep = 0.02; // part by which a line moves the time that a view is taken to need
+constexpr double kSilenceViews = 3,  // a server that is in none of so many whole views of the fleet,
+    kSilenceTries = 10;              // though so many tries were to be expected, is suspect
 constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
 constexpr int kGoodProbes = 2;      // in a row, before it returns
 constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long, doubled on a relapse
@@ -118,7 +118,8 @@
     Micros judgedAt{}, calmAt{};
     bool sumsCame = false;
     double settled = 0, settledRate = 0, stress = 0;
-    double view = 0; // seconds from one line of a server to its next: more than a period if reports pile up
+    std::set<ZoneId> zonesHeard;
+    double lines = 0, tried = 0; // heard of all servers
 
     void list(bool whole, std::span<const ListedServer> entries, Micros now) {
         std::vector<char> named(servers.size(), 0);
@@ -135,14 +136,15 @@
             if (!named[s]) tell(s, Gone, now);
     }
 
-    void sums(const ServerSums& line, Micros now) {
+    void sums(const ServerSums& line) {
         const Index* s = servers.find(line.server);
         if (!s) return;
         const double failed = std::min(line.unanswered, line.tries), good = line.tries - failed;
         sumsCame = true;
         servers.heard[*s] = 1;
-        servers.lastHeard[*s] = now;
-        view += kViewStep * (std::max(seconds(line.span), seconds(sumsPeriod)) - view);
+        zonesHeard.insert(line.proxiesZone);
+        servers.linesThen[*s] = ++lines;
+        servers.triedThen[*s] = tried += line.tries;
         servers.tries[*s] += line.tries;
         servers.unanswered[*s] += failed;
         servers.delay[*s] += good * seconds(line.meanDelay);
@@ -177,14 +179,16 @@
         const double jam = middle(jammed);
         if (stress <= kOnsetStress) calmAt = now;
         const double all = targetsOf(servers);
+        const auto view = static_cast<double>(servers.size() * zonesHeard.size());
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
                 const double share = servers.failing(s);
                 const bool enough = servers.tries[s] >= kSickTries;
                 // Proxies keep away from what fails them, so no line at all is a symptom too.
-                const double unheard = seconds(now - servers.lastHeard[s]);
-                const bool silent = unheard > seconds(kSilenceMost - sumsPeriod) + view && !servers.withdrawn[s] &&
-                                    unheard * settledRate * targetOf(servers, s) > kSilenceTries * all;
+                // A view takes as long as the reports pile up: it is counted in lines and tries, not in time.
+                const bool silent =
+                    !servers.withdrawn[s] && lines - servers.linesThen[s] > kSilenceViews * view &&
+                    (tried - servers.triedThen[s]) * targetOf(servers, s) > kSilenceTries * all;
                 const bool sick = enough && share >= kSickShare && share > stress + kSickOver;
                 const bool slow = enough && servers.pressed[s] >= kSlowPart && stress < kStressAim &&
                                   servers.rung[s] > 1 && now - servers.changedAt[s] > kSettle;
@@ -312,7 +316,9 @@
         case Enter: servers.rung[s] = warmth(s, now) >= 1 ? kRungs : 1; break;
         case Return: servers.rung[s] = 1; // if it started anew, the list will say so
         }
-        servers.changedAt[s] = servers.lastHeard[s] = now;
+        servers.changedAt[s] = now;
+        servers.linesThen[s] = lines;
+        servers.triedThen[s] = tried;
         servers.tries[s] = servers.unanswered[s] = servers.delay[s] = 0;
     }
 
@@ -685,7 +691,7 @@
                         std::vector<double>(products, usualRate / static_cast<double>(products))};
     }
     void left(ProxyId id) override { channel_.outbox.left(id); }
-    void sums(const ServerSums& line) override { health_.sums(line, now_); }
+    void sums(const ServerSums& line) override { health_.sums(line); }
     void usage(const UsageSums& line) override {
         const auto found = proxies_.find(line.proxy);
         if (found == proxies_.end() || line.product.value >= levels_.products.size() || line.span <= 0us)
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -41,10 +41,10 @@
     std::vector<ServerId> id;
     std::vector<ZoneId> zone;
     std::vector<Duty> duty;
-    std::vector<Micros> startedAt, lastHeard, probeDue, heldUntil, hold, changedAt;
+    std::vector<Micros> startedAt, probeDue, heldUntil, hold, changedAt;
     std::vector<int> rung, goodProbes;
     std::vector<char> withdrawn, probing, heard; // withdrawn: ordered out of all tables
-    std::vector<double> listed, tries, unanswered, delay, pressed, load;
+    std::vector<double> listed, tries, unanswered, delay, pressed, load, linesThen, triedThen;
 
     Index size() const { return id.size(); }
     Index add(const ListedServer& entry) {
@@ -53,11 +53,12 @@
         id.push_back(entry.id);
         zone.push_back(entry.zone);
         duty.push_back(Duty::Absent);
-        for (auto* one : {&startedAt, &lastHeard, &probeDue, &heldUntil, &hold, &changedAt})
+        for (auto* one : {&startedAt, &probeDue, &heldUntil, &hold, &changedAt})
             one->push_back(Micros{});
         for (auto* one : {&rung, &goodProbes}) one->push_back(0);
         for (auto* one : {&withdrawn, &probing, &heard}) one->push_back(0);
-        for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load}) one->push_back(0);
+        for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load, &linesThen, &triedThen})
+            one->push_back(0);
         return at->second;
     }
     const Index* find(ServerId server) const {
