--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -51,7 +51,7 @@
 constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long, doubled on a relapse
 constexpr Micros kRelapse = 20s;                    // within this of its return
 constexpr Micros kEaseLeast = 60s; // a server that can't carry its listed share stays a fifth lower so long
-constexpr double kSlowPart = 0.4;  // part of its tries that fail or are late while the middle server is well
+constexpr double kSlowPart = 0.4, kWellPart = 0.33; // part of its tries that fail or are late, the rest being well
 constexpr double kSlowProbe = 0.5,
                  kHeavy = 2; // and a probe takes this of the least SLA time, or holds so much
 constexpr Micros kSettle = 3s,
@@ -175,8 +175,8 @@
             jammed.emplace_back(part - (1 - slow) * servers.failing(s), targetOf(servers, s));
             tries += servers.tries[s];
         }
-        stress = middle(pressed); // few sick ones don't make it
-        const double jam = middle(jammed);
+        stress = reached(pressed, 0.5); // few sick ones don't make it
+        const double jam = reached(jammed, 0.5), least = reached(pressed, kWellPart);
         if (stress <= kOnsetStress) calmAt = now;
         const double all = targetsOf(servers);
         const auto view = static_cast<double>(servers.size() * zonesHeard.size());
@@ -190,7 +190,7 @@
                     !servers.withdrawn[s] && lines - servers.linesThen[s] > kSilenceViews * view &&
                     (tried - servers.triedThen[s]) * targetOf(servers, s) > kSilenceTries * all;
                 const bool sick = enough && share >= kSickShare && share > stress + kSickOver;
-                const bool slow = enough && servers.pressed[s] >= kSlowPart && stress < kStressAim &&
+                const bool slow = enough && servers.pressed[s] >= kSlowPart && least < kStressAim &&
                                   servers.rung[s] > 1 && now - servers.changedAt[s] > kSettle;
                 if (silent || sick || slow || enough)
                     tell(s, silent || sick || slow ? SumsBad : SumsGood, now);
@@ -200,10 +200,10 @@
         }
         return tries >= kSickTries ? std::optional(jam) : std::nullopt;
     }
-    /// The figure of the middle server by weight.
-    static double middle(std::vector<std::pair<double, double>>& figures) {
+    /// The figure that so much of the weight does not pass.
+    static double reached(std::vector<std::pair<double, double>>& figures, double part) {
         double rest = 0;
-        for (const auto& [figure, weight] : figures) rest += weight / 2;
+        for (const auto& [figure, weight] : figures) rest += weight * part;
         std::ranges::sort(figures);
         for (const auto& [figure, weight] : figures)
             if ((rest -= weight) <= 0) return figure;
