--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -118,7 +118,7 @@
     Micros judgedAt{}, calmAt{};
     bool sumsCame = false;
     double settled = 0, settledRate = 0, stress = 0;
-    std::set<ZoneId> zonesHeard;
+    std::set<ZoneId> zonesHeard = {};
     double lines = 0, tried = 0; // heard of all servers
 
     void list(bool whole, std::span<const ListedServer> entries, Micros now) {
