--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -579,7 +579,7 @@
 
     struct Node {
         Table* table;
-        double demand, whole;
+        double demand, whole, raised = 0; // weights: standing, and that its raised lines add
         std::vector<Index> ups = {}, downs = {};
     };
     /// One step of a round: releases, then the changes that fit, ranked by the servers that they free.
@@ -595,7 +595,10 @@
             usage += node.demand;
             for (Index s = 0; s < n; ++s) {
                 node.whole += servers.withdrawn[s] ? 0 : table.standing[s];
-                if (target(table, s) > table.standing[s]) node.ups.push_back(s);
+                if (target(table, s) > table.standing[s]) {
+                    node.ups.push_back(s);
+                    node.raised += target(table, s) - (servers.withdrawn[s] ? 0 : table.standing[s]);
+                }
                 if (target(table, s) < table.standing[s]) node.downs.push_back(s);
             }
             for (Index s = 0; s < n; ++s) load[s] += node.demand * part(node, s);
@@ -618,8 +621,7 @@
             double fits = 2, over = 0;
             for (const Index s : node.ups) {
                 const double aim = target(*node.table, s);
-                const double after =
-                    aim / (node.whole + aim - (servers.withdrawn[s] ? 0 : node.table->standing[s]));
+                const double after = aim / (node.whole + node.raised); // the raised lines share the demand
                 const double more = node.demand * (after - part(node, s)), residual = capacity[s] - load[s];
                 if (node.demand <= 0 || node.whole <= 0 || more <= residual) {
                     load[s] += more;
