--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -38,6 +38,7 @@
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
 constexpr double kOldLines = 2;    // for a server, old tables are taken to name it so much more often than on average
+constexpr double kWorn = 0.35;     // old tables are in need once this part of the servers is withdrawn
 constexpr Micros kForgotten = 20s; // messages without an answer for so long have left the channel
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3;  // what a second leaves of the sums, and of a usage
 constexpr double kPressedFade = 0.5;                 // the same for a server's own pressure
@@ -720,9 +721,13 @@
         channel_.outbox.forgetBefore(now_ - kForgotten);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
-        if (channel_.spare(kBatch) > 0) rounds_.urgent(idle, now_);
+        if (channel_.spare(kBatch) > 0) {
+            // Guards against old tables that run out of servers while urgent orders take the whole channel.
+            if (idle || servers_.outShare() > kWorn)
+                channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch) / 2);
+            rounds_.urgent(idle, now_);
+        }
         if (idle) {
-            channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch) / 2);
             rounds_.play(now_);
             levels_.order(rounds_.tables, proxies_, channel_);
             channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch));
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -66,6 +66,10 @@
         return found == index.end() ? nullptr : &found->second;
     }
     double failing(Index s) const { return tries[s] > 0 ? unanswered[s] / tries[s] : 0; }
+    double outShare() const {
+        const auto out = std::count(withdrawn.begin(), withdrawn.end(), 1);
+        return size() ? static_cast<double>(out) / static_cast<double>(size()) : 0;
+    }
     bool serves(Index s) const { return duty[s] == Duty::Serving || duty[s] == Duty::Suspect; }
 };
 
