A list that need not bind is doubted; new servers enter at a fifth and climb once they answered

A server that appears later enters at a fifth even if it seems warm, and climbs only once some txn was settled there: guards against listed servers that are none of the fleet, and any other list that names what does not serve.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -73,7 +73,7 @@
 
 std::string text(double value) { return std::to_string(value).substr(0, 6); }
 
-enum class News { Ready, Started, Drains, Gone, SumsBad, SumsGood, ProbeBad, ProbeSlow, ProbeGood, Rested };
+enum class News { Ready, Started, Drains, Gone, Doubtful, SumsBad, SumsGood, ProbeBad, ProbeSlow, ProbeGood, Rested };
 enum class Effect { Nothing, Enter, Probe, Shut, Ease, Return };
 using enum Duty;
 using enum News;
@@ -81,7 +81,10 @@
 constexpr Row<Duty, News, Effect> kDuties[] = {
     {Any, Started, Serving, Enter},         {Any, Drains, Draining, Nothing},
     {Any, Gone, Absent, Nothing},           {Absent, Ready, Serving, Enter},
-    {Draining, Ready, Serving, Enter},      {Serving, SumsBad, Suspect, Probe},
+    {Draining, Ready, Serving, Enter},      {Draining, Doubtful, Absent, Nothing},
+    {Serving, Doubtful, Missed, Probe},     {Suspect, Doubtful, Missed, Probe},
+    {ShutOut, Doubtful, Absent, Nothing},   {Missed, Ready, Serving, Nothing},
+    {Missed, ProbeBad, Absent, Nothing},    {Serving, SumsBad, Suspect, Probe},
     {Suspect, SumsBad, Suspect, Probe},     {Suspect, SumsGood, Serving, Nothing},
     {Suspect, ProbeBad, ShutOut, Shut},     {Suspect, ProbeSlow, Serving, Ease},
     {Suspect, ProbeGood, Serving, Nothing}, {ShutOut, Rested, Serving, Return}};
@@ -112,7 +115,7 @@
 struct Health {
     Servers& servers;
     OrderSink& sink;
-    const bool mayProbe, weightsListed;
+    const bool mayProbe, weightsListed, goneBinds;
     const Micros sumsPeriod, shortestSla, coldSpan;
     const double coldShare, fallMultiple;
     std::mt19937 chance;
@@ -123,18 +126,20 @@
     double lines = 0, tried = 0; // heard of all servers
 
     void list(bool whole, std::span<const ListedServer> entries, Micros now) {
+        // Guards against a list that names running servers gone: where that need not bind, a probe decides.
+        const News ends = goneBinds ? Gone : Doubtful;
         std::vector<char> named(servers.size(), 0);
         for (const auto& entry : entries) {
             const Index s = servers.add(entry);
             if (s < named.size()) named[s] = 1;
             servers.listed[s] = weightsListed && entry.weight > 0 ? entry.weight : 1;
             const bool fresh = entry.startedAt > std::exchange(servers.startedAt[s], entry.startedAt);
-            static constexpr News kNews[] = {Gone, Ready, Drains};
+            const News kNews[] = {ends, Ready, Drains};
             const News news = kNews[static_cast<int>(entry.state)];
             tell(s, news == Ready && fresh ? Started : news, now);
         }
         for (Index s = 0; whole && s < named.size(); ++s)
-            if (!named[s]) tell(s, Gone, now);
+            if (!named[s]) tell(s, ends, now);
     }
 
     void sums(const ServerSums& line) {
@@ -142,7 +147,7 @@
         if (!s) return;
         const double failed = std::min(line.unanswered, line.tries), good = line.tries - failed;
         sumsCame = true;
-        servers.heard[*s] = 1;
+        if (good > 0) servers.heard[*s] = 1;
         zonesHeard.insert(line.proxiesZone);
         servers.linesThen[*s] = ++lines;
         servers.triedThen[*s] = tried += line.tries;
@@ -213,7 +218,7 @@
 
     void probes(Micros now) {
         for (Index s = 0; mayProbe && s < servers.size(); ++s) {
-            const bool wanted = servers.duty[s] == Suspect || servers.duty[s] == ShutOut;
+            const bool wanted = servers.duty[s] == Suspect || servers.duty[s] == Missed || servers.duty[s] == ShutOut;
             if (!wanted || servers.probing[s] || now < servers.probeDue[s]) continue;
             servers.probing[s] = 1;
             servers.probeDue[s] = now + kProbeEvery + Micros(chance() % 100000);
@@ -242,7 +247,7 @@
         // A probe that only waits tells of load where some txns are still answered: less is sent, not none.
         const bool mute = answered <= (1 - kHangShare) * servers.tries[s];
         const bool dead = result.status != ProbeStatus::Answered &&
-                          (mute || (result.status != ProbeStatus::TimedOut && share >= kSickShare));
+                          (mute || (result.status != ProbeStatus::TimedOut && (share >= kSickShare || servers.duty[s] == Missed)));
         const News bad = dead || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
         tell(s, good ? ProbeGood : bad, now);
         if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
@@ -273,7 +278,7 @@
             };
             const int next = servers.rung[s] + 1;
             const bool judged = settledRate > 0 && warm < 1;
-            if (mayClimb && !onset && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
+            if (mayClimb && (servers.heard[s] || warm < 1) && !onset && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
                 (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
@@ -314,7 +319,10 @@
             servers.rung[s] -= servers.rung[s] > 1;
             break;
         }
-        case Enter: servers.rung[s] = warmth(s, now) >= 1 ? kRungs : 1; break;
+        case Enter: // at a fifth, unless nothing is known yet of any; if warm it climbs once it has answered
+            servers.rung[s] = warmth(s, now) >= 1 && lines <= 0 ? kRungs : 1;
+            servers.heard[s] = 0;
+            break;
         case Return: servers.rung[s] = 1; // if it started anew, the list will say so
         }
         servers.changedAt[s] = now;
@@ -663,7 +671,7 @@
             const ChannelTerms& channel, const GuardTerms& guards, std::span<const ProductTerms> products,
             OrderSink& sink)
         : sink_(sink), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
-          health_(servers_, sink, fleet.mayProbe, fleet.weightsListed, fleet.sumsPeriod,
+          health_(servers_, sink, fleet.mayProbe, fleet.weightsListed, guards.goneBinds, fleet.sumsPeriod,
                   std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime, guards.coldSpan,
                   guards.coldShare, guards.fallMultiple, std::mt19937(static_cast<std::uint32_t>(seed))),
           channel_(proxies_, sink, channel.linesPerSecond, channel.headLines, channel.queueMost, forwarders.standingLines,
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -62,6 +62,7 @@
     Micros coldSpan{};
     double fallMultiple = 0;
     Micros fallSpan{};
+    bool goneBinds = true; ///< false: only a server seen as draining must leave the tables
 };
 enum class Throttle : std::uint8_t { None, Share, Rate };
 struct ForwarderTerms {
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -33,7 +33,7 @@
     return at == std::end(rows) ? nullptr : &*at;
 }
 
-enum class Duty { Absent, Draining, Serving, Suspect, ShutOut, Any };
+enum class Duty { Absent, Draining, Serving, Suspect, Missed, ShutOut, Any };
 
 /// Figures on servers in parallel arrays under a dense index; an index is never given to another server.
 struct Servers {
@@ -70,7 +70,9 @@
         const auto out = std::count(withdrawn.begin(), withdrawn.end(), 1);
         return size() ? static_cast<double>(out) / static_cast<double>(size()) : 0;
     }
-    bool serves(Index s) const { return duty[s] == Duty::Serving || duty[s] == Duty::Suspect; }
+    bool serves(Index s) const {
+        return duty[s] == Duty::Serving || duty[s] == Duty::Suspect || duty[s] == Duty::Missed;
+    }
 };
 
 struct Proxy {
--- a/src/simwire/start_text.cpp
+++ b/src/simwire/start_text.cpp
@@ -124,6 +124,7 @@
     out.guards.coldSpan = terms.time("Contract.ColdS");
     out.guards.fallMultiple = terms.number("Contract.FallMultiple");
     out.guards.fallSpan = terms.time("Contract.OverloadForS");
+    out.guards.goneBinds = !terms.flagOrFalse("Contract.OnlyDrainingBinds");
 
     const auto products = terms.count("Classes.count", 16);
     if (products == 0) throw Malformed("start text: Classes.count is 0, and a planner needs a product");
