The sick take at most a quarter of a zone out of old tables

Ended servers are still withdrawn everywhere, and joiners are bound beside urgent orders once a quarter of a zone is withdrawn.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -38,7 +38,7 @@
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
 constexpr double kOldLines = 2;    // for a server, old tables are taken to name it so much more often than on average
-constexpr double kWorn = 0.35;     // old tables are in need once this part of the servers is withdrawn
+constexpr double kWorn = 0.25;     // a zone with this part withdrawn: old tables there are in need
 constexpr Micros kForgotten = 20s; // messages without an answer for so long have left the channel
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3;  // what a second leaves of the sums, and of a usage
 constexpr double kPressedFade = 0.5;                 // the same for a server's own pressure
@@ -521,7 +521,9 @@
                 if ((out || health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs)) && table.standing[s] > target(table, s) &&
                     channel.room() >= each)
                     line(table, s);
-            if (out && channel.room() >= each) withdraw(s, true); // only old tables hold it now
+            // Only old tables hold it now. They have few lines: the sick must not take them all.
+            const bool sick = servers.duty[s] == ShutOut && servers.outShare(servers.zone[s]) >= kWorn;
+            if (out && !sick && channel.room() >= each) withdraw(s, true);
         }
         // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
         for (auto& table : tables)
@@ -731,7 +733,9 @@
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
         if (channel_.spare(kBatch) > 0) {
             // Guards against old tables that run out of servers while urgent orders take the whole channel.
-            if (idle || servers_.outShare() > kWorn)
+            if (idle || std::ranges::any_of(rounds_.tables, [&](const Table& table) {
+                    return servers_.outShare(table.zone) >= kWorn;
+                }))
                 channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch) / 2);
             rounds_.urgent(idle, now_);
         }
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -66,9 +66,11 @@
         return found == index.end() ? nullptr : &found->second;
     }
     double failing(Index s) const { return tries[s] > 0 ? unanswered[s] / tries[s] : 0; }
-    double outShare() const {
-        const auto out = std::count(withdrawn.begin(), withdrawn.end(), 1);
-        return size() ? static_cast<double>(out) / static_cast<double>(size()) : 0;
+    double outShare(ZoneId of) const { ///< the part of a zone's servers that is withdrawn
+        double out = 0, all = 0;
+        for (Index s = 0; s < size(); ++s)
+            if (zone[s] == of) all += 1, out += withdrawn[s];
+        return all > 0 ? out / all : 0;
     }
     bool serves(Index s) const {
         return duty[s] == Duty::Serving || duty[s] == Duty::Suspect || duty[s] == Duty::Missed;
