--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -8,7 +8,7 @@
 // window, merged into differences, checked against a ledger, sent in rounds, add before shrink.
 // Beside the design stand six mechanisms:
 //   1 health          bad or silent sums lead to a probe; if it agrees, a server is shut out or eased
-//   2 return          a shut-out server comes back after good probes, by fifths, the wait doubling on relapse
+//   2 return          a shut-out server comes back after good probes, by fifths
 //   3 levels          under stress of the whole fleet the least revenue for its time is let in less
 //   4 further tries   proxies try again only after proof that nothing ran: safe for every product
 //   5 channel pacing  unanswered lines bound the queue: urgent first, then joiners, then rounds
@@ -49,8 +49,7 @@
     kSilenceTries = 10;              // though so many tries were to be expected, is suspect
 constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
 constexpr int kGoodProbes = 2;      // in a row, before it returns
-constexpr Micros kHoldLeast = 3s, kHoldMost = 120s; // it stays out so long, doubled on a relapse
-constexpr Micros kRelapse = 20s;                    // within this of its return
+constexpr Micros kHoldLeast = 3s;   // it stays out so long
 constexpr Micros kEaseLeast = 60s; // a server that can't carry its listed share stays a fifth lower so long
 constexpr double kSlowPart = 0.4, kWellPart = 0.33; // part of its tries that fail or are late, the rest being well
 constexpr double kSlowProbe = 0.5,
@@ -66,7 +65,6 @@
 constexpr double kGainFirst = 0.85;                // at the onset also for what waits in the queues
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
 constexpr double kBestFade = 0.995;                // what a period leaves of the best
-constexpr double kRepeatTrust = 0.02; // part of a rise under stress that is not taken for repeats
 constexpr double kProductFloor = 0.1; // no product is let in less than this
 constexpr double kLevelStep = 0.02,
                  kNoLimit = 1e6; // smaller changes aren't worth a line; a rate without limit
@@ -234,20 +232,21 @@
         if (result.status == ProbeStatus::Rejected) return;
         // Some probes are shallow and answered while work hangs or waits: a quick answer clears neither a
         // server that answers next to nothing nor one that holds far more than the others for its weight.
-        const double share = servers.failing(s), answered = servers.tries[s] - servers.unanswered[s];
         const double usual =
             sumOver(servers, [&](Index k) { return servers.serves(k) ? servers.load[k] : 0; }) /
             sumOver(servers, [&](Index k) { return targetOf(servers, k); });
-        const bool hung = servers.duty[s] == Suspect && servers.tries[s] >= kSickTries && share >= kHangShare;
+        const double answered = servers.tries[s] - servers.unanswered[s];
+        const bool mute = answered <= (1 - kHangShare) * servers.tries[s];
+        const bool hung = servers.duty[s] == Suspect && servers.tries[s] >= kSickTries && mute;
         const bool answers = result.status == ProbeStatus::Answered && result.delay < shortestSla && !hung;
         const bool heavy = seconds(result.delay) > kSlowProbe * seconds(shortestSla) ||
                            servers.load[s] > kHeavy * usual * targetOf(servers, s);
         const bool good = answers && (servers.duty[s] == ShutOut || !heavy);
         servers.goodProbes[s] = good ? servers.goodProbes[s] + 1 : 0;
         // A probe that only waits tells of load where some txns are still answered: less is sent, not none.
-        const bool mute = answered <= (1 - kHangShare) * servers.tries[s];
         const bool dead = result.status != ProbeStatus::Answered &&
-                          (mute || (result.status != ProbeStatus::TimedOut && (share >= kSickShare || servers.duty[s] == Missed)));
+                          (mute || (result.status != ProbeStatus::TimedOut &&
+                                    (servers.failing(s) >= kSickShare || servers.duty[s] == Missed)));
         const News bad = dead || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
         tell(s, good ? ProbeGood : bad, now);
         if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
@@ -309,10 +308,8 @@
         case Shut:
         case Ease: {
             const Micros least = row->effect == Shut ? kHoldLeast : kEaseLeast;
-            const bool again =
-                servers.hold[s] > 0us && now - servers.changedAt[s] < servers.hold[s] + kRelapse;
-            servers.hold[s] = again ? std::min(std::max(servers.hold[s], least) * 2, kHoldMost) : least;
-            servers.heldUntil[s] = now + servers.hold[s];
+            servers.hold[s] = least;
+            servers.heldUntil[s] = now + least;
             servers.probeDue[s] = now + kProbeEvery;
             servers.goodProbes[s] = 0;
             if (row->effect == Shut) return;
@@ -409,7 +406,6 @@
 
     const std::vector<ProductTerms> products;
     std::vector<double> pass = std::vector<double>(products.size(), 1);  // by product: the share let in
-    std::vector<double> fresh = std::vector<double>(products.size(), 0); // txns a second without repeats
     bool limited = false;
     Micros blind{};            // no moves until this has passed
     double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
@@ -436,12 +432,9 @@
         const std::vector<double> came = usageOf(proxies, products.size());
         double passed = 0, work = 0, wanted = 0, spare = 0;
         for (Index p = 0; p < products.size(); ++p) {
-            // Clients whose txn was declined come again: what is wanted is what came before that.
-            const double trust = pass[p] >= 1 && stress < kStressHigh ? 1 : kRepeatTrust;
-            fresh[p] = fresh[p] <= 0 ? came[p] : std::min(came[p], fresh[p] + trust * (came[p] - fresh[p]));
             passed += came[p] * pass[p];
             work += came[p] * pass[p] * seconds(products[p].slaTime);
-            wanted += fresh[p] * seconds(products[p].slaTime);
+            wanted += came[p] * seconds(products[p].slaTime);
         }
         if (passed <= 0 || weight <= 0) return;
         best = std::max(best * kBestFade, settled * work / passed / weight);
@@ -464,7 +457,7 @@
         std::ranges::stable_sort(order, {}, worth);
         if (limited) spare = std::max(0.0, wanted - gain * best * weight);
         for (const Index p : order) {
-            const double part = fresh[p] * seconds(products[p].slaTime);
+            const double part = came[p] * seconds(products[p].slaTime);
             const double cut = std::min(spare, part * (1 - kProductFloor));
             pass[p] = part > 0 ? 1 - cut / part : 1;
             spare -= cut;
@@ -490,7 +483,7 @@
         std::vector<double> rates;
         for (const auto& [id, proxy] : proxies) rates.push_back(proxy.usage[p]);
         std::ranges::sort(rates);
-        double goal = share * fresh[p];
+        double goal = share * std::accumulate(rates.begin(), rates.end(), 0.0);
         for (Index k = 0; share < 1 && k < rates.size(); goal -= rates[k++]) {
             const double even = goal / static_cast<double>(rates.size() - k);
             if (even <= rates[k]) return even;
