--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -39,7 +39,7 @@
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
 constexpr double kOldLines = 2;    // for a server, old tables are taken to name it so much more often than on average
 constexpr double kWorn = 0.25;     // a zone with this part withdrawn: old tables there are in need
-constexpr Micros kForgotten = 20s; // messages without an answer for so long have left the channel
+constexpr Micros kForgotten = 20s, kUnasked = 5s; // unanswered messages have left the channel; if all proxies left
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3;  // what a second leaves of the sums, and of a usage
 constexpr double kPressedFade = 0.5;                 // the same for a server's own pressure
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
@@ -60,7 +60,6 @@
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12,
                  kJump = 1.2;        // what they aim at; or above it, if so much over the best comes
-constexpr double kOnsetStress = 0.2; // above it a cold server waits at none for that long
 constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06; // moves a second for the stress, bounds
 constexpr double kGainFirst = 0.85;                // at the onset also for what waits in the queues
 constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
@@ -117,7 +116,7 @@
     const GuardTerms guards;
     const Micros shortestSla;
     std::mt19937 chance;
-    Micros judgedAt{}, calmAt{};
+    Micros judgedAt{};
     bool sumsCame = false;
     double settled = 0, settledRate = 0, stress = 0;
     std::set<ZoneId> zonesHeard = {};
@@ -181,7 +180,6 @@
         }
         stress = reached(pressed, 0.5); // few sick ones don't make it
         const double jam = reached(jammed, 0.5), least = reached(pressed, kWellPart);
-        if (stress <= kOnsetStress) calmAt = now;
         const double all = targetsOf(servers);
         const auto view = static_cast<double>(servers.size() * zonesHeard.size());
         for (Index s = 0; s < servers.size(); ++s) {
@@ -257,9 +255,6 @@
     void rise(double asked, bool mayClimb, Micros now) {
         const double targets = targetsOf(servers);
         double listed = 0;
-        // Proxies that avoid what fails them heap their txns on what still answers: at the onset of stress,
-        // before limits can show, a cold server waits at none.
-        const bool onset = stress > kOnsetStress && now - calmAt < kOnset;
         bool spare = false; // some server is warm: nobody is left without one if a cold one waits
         for (Index s = 0; s < servers.size(); ++s) {
             listed += servers.serves(s) ? servers.listed[s] : 0;
@@ -277,13 +272,12 @@
             };
             const int next = servers.rung[s] + 1;
             const bool judged = settledRate > 0 && warm < 1;
-            if (mayClimb && (servers.heard[s] || warm < 1) && !onset && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
+            if (mayClimb && (servers.heard[s] || warm < 1) && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
                 (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
-            while (judged && servers.rung[s] > (spare ? 0 : 1) &&
-                   (onset || brings(servers.rung[s]) > 1.5 * able))
+            while (judged && servers.rung[s] > (spare ? 0 : 1) && brings(servers.rung[s]) > 1.5 * able)
                 --servers.rung[s];
         }
     }
@@ -364,6 +358,7 @@
         for (const auto& [id, proxy] : proxies)
             if (!proxy.bound) order.emplace_back(-proxy.rate(), id);
         std::ranges::sort(order);
+        const auto out = std::count(servers.withdrawn.begin(), servers.withdrawn.end(), 1);
         for (const auto& [rate, id] : order) {
             if (budget <= 0) return;
             Proxy& proxy = proxies[id];
@@ -373,7 +368,7 @@
                 if (!table.serves(proxy)) continue;
                 sink.bind(id, table.products, table.id);
                 const auto held = std::ranges::count_if(table.standing, [](double w) { return w > 0; });
-                outbox.stage(proxy, 1 + static_cast<double>(held + std::ssize(table.levels)));
+                outbox.stage(proxy, 1 + static_cast<double>(held + out + std::ssize(table.levels)));
             }
             budget -= outbox.stagedLines - before;
         }
@@ -494,7 +489,8 @@
     OrderSink& sink;
     std::vector<Table> tables;
     Phase phase = Phase::Idle;
-    Micros windowAt{}, sentAt{};
+    Micros windowAt{}, sentAt{}, againAt{};
+    bool newcomers = false; // that withdrawals were not ordered for
     std::optional<MarkId> mark = {};
 
     /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
@@ -503,10 +499,9 @@
             static_cast<double>(proxies.size()) * (2 + channel.terms.headLines); // a message to each
         // Those who joined since may hold tables with servers that ended long ago. Hundreds can't be bound within
         // the grace, but each holds few such lines: they are withdrawn again.
-        const auto joined = [](const Proxy& proxy) { return proxy.joinedSince; };
-        const bool again = std::ranges::any_of(proxies, joined, &Proxies::value_type::second);
+        const bool again = newcomers && now - againAt >= kWindow;
         for (Index s = 0; s < servers.size(); ++s) {
-            if (again && servers.withdrawn[s] && channel.room() >= each) withdraw(s, true, joined);
+            if (again && servers.withdrawn[s] && channel.room() >= each) withdraw(s, true);
             const bool out = !servers.serves(s) && !servers.withdrawn[s];
             for (auto& table : tables)
                 if ((out || health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs)) && table.standing[s] > target(table, s) &&
@@ -514,9 +509,9 @@
                     line(table, s);
             // Only old tables hold it now. They have few lines: the sick must not take them all.
             const bool sick = servers.duty[s] == ShutOut && servers.outShare(servers.zone[s]) >= kWorn;
-            if (out && !sick && channel.room() >= each) withdraw(s, true, old);
+            if (out && !sick && channel.room() >= each) withdraw(s, true);
         }
-        for (auto& [id, proxy] : proxies) proxy.joinedSince &= channel.room() < each;
+        if (again) againAt = now, newcomers = channel.room() < each;
         // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
         for (auto& table : tables)
             if (sumOver(servers, [&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
@@ -568,16 +563,15 @@
             return false;
         });
     }
-    static bool old(const Proxy& proxy) { return !proxy.bound; }
-    void withdraw(Index s, bool out, const auto& concerns) {
+    void withdraw(Index s, bool out) {
         sink.withdraw(servers.id[s], out);
         servers.withdrawn[s] = out;
         const double named = kOldLines * channel.standingLines / static_cast<double>(servers.size());
-        channel.outbox.chargeOld(concerns, std::min(1.0, named));
+        channel.outbox.chargeOld(std::min(1.0, named));
     }
     void line(Table& table, Index s) {
         table.standing[s] = target(table, s);
-        if (table.standing[s] > 0 && servers.withdrawn[s]) withdraw(s, false, old);
+        if (table.standing[s] > 0 && servers.withdrawn[s]) withdraw(s, false);
         sink.setLine(table.id, servers.id[s], table.standing[s]);
         channel.outbox.charge([&](auto& proxy) { return table.serves(proxy); }, 1);
     }
@@ -693,7 +687,8 @@
     void joined(ProxyId id, ZoneId zone, double usualRate, bool onlyStanding) override {
         const Index products = levels_.products.size();
         left(id);
-        proxies_[id] = {zone, false, onlyStanding, true,
+        rounds_.newcomers = true;
+        proxies_[id] = {zone, false, onlyStanding,
                         std::vector<double>(products, usualRate / static_cast<double>(products))};
     }
     void left(ProxyId id) override { channel_.outbox.left(id); }
@@ -721,17 +716,16 @@
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.resting() || rounds_.answered(now_), now_);
-        channel_.outbox.forgetBefore(now_ - kForgotten);
+        channel_.outbox.forget(now_ - kForgotten, now_ - kUnasked);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
-        if (channel_.spare(kBatch) > 0) {
-            // Guards against old tables that run out of servers while urgent orders take the whole channel.
-            if (idle || std::ranges::any_of(rounds_.tables, [&](const Table& table) {
-                    return servers_.outShare(table.zone) >= kWorn;
-                }))
-                channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch) / 2);
-            rounds_.urgent(idle, now_);
-        }
+        const double half = channel_.spare(kBatch) / 2;
+        if (half > 0) rounds_.urgent(idle, now_);
+        // Guards against old tables that run out of servers while urgent orders take the whole channel.
+        if (half > 0 && (idle || std::ranges::any_of(rounds_.tables, [&](const Table& table) {
+                             return servers_.outShare(table.zone) >= kWorn;
+                         })))
+            channel_.joiners(rounds_.tables, servers_, half);
         if (idle) {
             rounds_.play(now_);
             levels_.order(rounds_.tables, proxies_, channel_);
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -80,7 +80,6 @@
 struct Proxy {
     ZoneId zone;
     bool bound = false, onlyStanding = true;
-    bool joinedSince = true; // since withdrawals were last ordered for those who join
     std::vector<double> usage;                          // txns a second by product
     double staged = 0;                                  // lines of the message now being put together
     std::deque<std::pair<MarkId, double>> waiting = {}; // lines of each message without an answer
@@ -134,9 +133,9 @@
             if (concerns(proxy)) stage(proxy, lines);
     }
     /// For those that keep an old table: a standing one names a server with this chance, a whole one surely.
-    void chargeOld(const auto& concerns, double named) {
+    void chargeOld(double named) {
         for (auto& [id, proxy] : proxies) {
-            if (proxy.bound || !concerns(proxy)) continue;
+            if (proxy.bound) continue;
             if (proxy.onlyStanding)
                 stagedLines += named * (headLines + 2);
             else
@@ -162,14 +161,20 @@
         const auto at = std::ranges::find(waiting, number, &std::pair<MarkId, double>::first);
         if (at != waiting.end()) settle(waiting, at + 1);
     }
-    void left(ProxyId id) {
+    void left(ProxyId id) { // what was on its way to it may still wait
         const auto found = proxies.find(id);
         if (found == proxies.end()) return;
-        settle(found->second.waiting, found->second.waiting.end());
+        for (const auto& [mark, lines] : found->second.waiting) {
+            const auto batch = std::ranges::find(batches, mark, &Batch::mark);
+            if (batch != batches.end()) --batch->awaited;
+        }
         proxies.erase(found);
     }
-    void forgetBefore(Micros time) {
-        while (!batches.empty() && batches.front().sentAt < time) batches.pop_front();
+    /// Drops what was sent before `all`, and before `unasked` if nobody is left to answer.
+    void forget(Micros all, Micros unasked) {
+        std::erase_if(batches, [&](const Batch& one) {
+            return one.sentAt < all || (one.awaited == 0 && one.sentAt < unasked);
+        });
     }
     bool answered(std::optional<MarkId> number) const {
         return std::ranges::none_of(
