--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -503,9 +503,10 @@
         for (Index s = 0; s < servers.size(); ++s) {
             if (again && servers.withdrawn[s] && channel.room() >= each) withdraw(s, true);
             const bool out = !servers.serves(s) && !servers.withdrawn[s];
+            const bool lowered = health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs);
             for (auto& table : tables)
-                if ((out || health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs)) && table.standing[s] > target(table, s) &&
-                    channel.room() >= each)
+                if (table.standing[s] > target(table, s) &&
+                    (out ? channel.room() >= each : lowered && channel.spare(kBatch) > 0))
                     line(table, s);
             // Only old tables hold it now. They have few lines: the sick must not take them all.
             const bool sick = servers.duty[s] == ShutOut && servers.outShare(servers.zone[s]) >= kWorn;
