--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -1,17 +1,15 @@
 // The decision module: which servers each forwarder's tables name, and when orders go out.
 //
-// How callers reach it: makePlanner() in planner.h builds one planner an instance; begin(now), inputs, then
-// decide(), which writes the orders to the OrderSink. The interface is planner.h; callers know the wire, this
-// file does not. No clock, no I/O, no globals; the same inputs give the same orders.
-//
+// Callers: makePlanner(), then begin(now), inputs and decide() a batch; orders go to the OrderSink. The
+// interface is planner.h. No wire, clock, I/O or globals.
 // The ordinary path is the design (docs/design.md): listed weights minus withdrawn servers, gathered over a
 // window, merged into differences, checked against a ledger, sent in rounds, add before shrink.
 // Beside the design stand six mechanisms:
 //   1 health          bad or silent sums lead to a probe; if it agrees, a server is shut out or eased
-//   2 return          a shut-out server comes back after good probes, by fifths
+//   2 return          a shut-out server comes back after good probes, a new one enters, by fifths
 //   3 levels          under stress of the whole fleet the least revenue for its time is let in less
 //   4 further tries   proxies try again only after proof that nothing ran: safe for every product
-//   5 channel pacing  unanswered lines bound the queue: urgent first, then joiners, then rounds
+//   5 channel pacing  lines on their way bound the queue: urgent first, then joiners, then rounds
 //   6 starting over   nothing is trusted after a start: all proxies are bound anew, busiest first
 #include "planner/planner.h"
 #include "planner/state.h"
@@ -31,60 +29,50 @@
 // Tuned values; the design's own starting values come first.
 constexpr Micros kWindow = 500ms, kRoundMost = 2s; // changes gather; a round ends, marks or not
 constexpr double kHeadroom = 1.2;                  // ledger capacity over listed share of heard usage
-constexpr int kRungs = 5;                          // a new server rises by fifths
+constexpr int kRungs = 5, kGoodProbes = 2;         // a server rises by fifths; returns after so many
 constexpr Micros kBeat = 100ms;                    // how often an idle planner looks at its clock
 constexpr double kColdLean = 1.25;                 // how far a rung may lead the slowest warming
 constexpr double kFallPart = 0.75; // part of the falling multiple that a cold server is brought
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
-constexpr double kOldLines = 2;    // for a server, old tables are taken to name it so much more often than on average
-constexpr double kWorn = 0.25;     // a zone with this part withdrawn: old tables there are in need
-constexpr Micros kForgotten = 20s, kUnasked = 5s; // unanswered messages have left the channel; if all proxies left
-constexpr double kSumsFade = 0.2, kUsageFade = 0.3;  // what a second leaves of the sums, and of a usage
-constexpr double kPressedFade = 0.5;                 // the same for a server's own pressure
+constexpr double kOldLines = 2;    // old tables are taken to name a server so many times the average
+constexpr double kWorn = 0.25;     // old tables are in need where this part of a zone is withdrawn
+constexpr Micros kForgotten = 10s; // messages without an answer for so long have left the channel
+constexpr double kSumsFade = 0.2, kUsageFade = 0.3, kPressedFade = 0.5; // what a second leaves of each
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
-constexpr double kDoubtPart = 0.34; // health shuts out at most this part of the listed weight
-constexpr double kSilenceViews = 3,  // a server that is in none of so many whole views of the fleet,
-    kSilenceTries = 10;              // though so many tries were to be expected, is suspect
-constexpr Micros kProbeEvery = 1s;  // probes of a server that is shut out
-constexpr int kGoodProbes = 2;      // in a row, before it returns
-constexpr Micros kHoldLeast = 3s;   // it stays out so long
-constexpr Micros kEaseLeast = 60s; // a server that can't carry its listed share stays a fifth lower so long
-constexpr double kSlowPart = 0.4, kWellPart = 0.33; // part of its tries that fail or are late, the rest being well
-constexpr double kSlowProbe = 0.5,
-                 kHeavy = 2; // and a probe takes this of the least SLA time, or holds so much
-constexpr Micros kSettle = 3s,
-                 kOnset = 3s; // after a change, before new doubts; until limits show in the sums
+constexpr double kDoubtPart = 0.34;                  // health shuts out at most this part of the weight
+constexpr double kSilenceViews = 3,
+                 kSilenceTries = 10; // views without a server, with so many tries to expect
+constexpr Micros kProbeEvery = 1s, kHoldLeast = 3s, kEaseLeast = 60s; // a server stays out, or a fifth lower
+constexpr double kSlowPart = 0.4,
+                 kWellPart = 0.33;               // part of its tries that fail or are late; the rest is well
+constexpr double kSlowProbe = 0.5, kHeavy = 2;   // part of the least SLA time; times the usual that it holds
+constexpr Micros kSettle = 3s, kOnset = 3s;      // before new doubts; until limits show in the sums
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
-constexpr double kStressAim = 0.12,
-                 kJump = 1.2;        // what they aim at; or above it, if so much over the best comes
-constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06; // moves a second for the stress, bounds
-constexpr double kGainFirst = 0.85;                // at the onset also for what waits in the queues
-constexpr double kGainLeast = 0.5, kGainTop = 1.3; // the bounds of what is let in, against the best settled
-constexpr double kBestFade = 0.995;                // what a period leaves of the best
-constexpr double kProductFloor = 0.1; // no product is let in less than this
-constexpr double kLevelStep = 0.02,
-                 kNoLimit = 1e6; // smaller changes aren't worth a line; a rate without limit
+constexpr double kStressAim = 0.12, kJump = 1.2; // what they aim at; above it, if so much over the best comes
+constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06;    // moves a second for the stress, bounds
+constexpr double kGainFirst = 0.85, kGainLeast = 0.5, kGainTop = 1.3; // at the onset; bounds
+constexpr double kBestFade = 0.995, kProductFloor = 0.1; // left of the best a period; the least let in
+constexpr double kLevelStep = 0.02, kNoLimit = 1e6;      // less isn't worth a line; a rate without limit
 
 std::string text(double value) { return std::to_string(value).substr(0, 6); }
 
-enum class News { Ready, Started, Drains, Gone, Doubtful, SumsBad, SumsGood, ProbeBad, ProbeSlow, ProbeGood, Rested };
+enum class News { Ready, Fresh, Drains, Gone, Lost, SumsBad, SumsWell, ProbeBad, ProbeSlow, ProbeWell, Back };
 enum class Effect { Nothing, Enter, Probe, Shut, Ease, Return };
 using enum Duty;
 using enum News;
 using enum Effect;
 constexpr Row<Duty, News, Effect> kDuties[] = {
-    {Any, Started, Serving, Enter},         {Any, Drains, Draining, Nothing},
-    {Any, Gone, Absent, Nothing},           {Absent, Ready, Serving, Enter},
-    {Draining, Ready, Serving, Enter},      {Draining, Doubtful, Absent, Nothing},
-    {Serving, Doubtful, Missed, Probe},     {Suspect, Doubtful, Missed, Probe},
-    {ShutOut, Doubtful, Absent, Nothing},   {Missed, Ready, Serving, Nothing},
-    {Missed, ProbeBad, Absent, Nothing},    {Serving, SumsBad, Suspect, Probe},
-    {Suspect, SumsBad, Suspect, Probe},     {Suspect, SumsGood, Serving, Nothing},
-    {Suspect, ProbeBad, ShutOut, Shut},     {Suspect, ProbeSlow, Serving, Ease},
-    {Suspect, ProbeGood, Serving, Nothing}, {ShutOut, Rested, Serving, Return}};
+    {Any, Fresh, Serving, Enter},       {Any, Drains, Ended, Nothing},
+    {Any, Gone, Ended, Nothing},        {Ended, Ready, Serving, Enter},
+    {Serving, Lost, Missed, Probe},     {Suspect, Lost, Missed, Probe},
+    {ShutOut, Lost, Ended, Nothing},    {Missed, Ready, Serving, Nothing},
+    {Missed, ProbeBad, Ended, Nothing}, {Serving, SumsBad, Suspect, Probe},
+    {Suspect, SumsBad, Suspect, Probe}, {Suspect, SumsWell, Serving, Nothing},
+    {Suspect, ProbeBad, ShutOut, Shut}, {Suspect, ProbeSlow, Serving, Ease},
+    {ShutOut, Back, Serving, Return},   {Suspect, ProbeWell, Serving, Nothing}};
 
 enum class Phase { Idle, Gathering, Sent, Any };
 enum class Tick { Differences, WindowOver, AnsweredMore, Answered };
@@ -99,13 +87,8 @@
 double targetOf(const Servers& servers, Index s) {
     return servers.serves(s) ? servers.listed[s] * servers.rung[s] / kRungs : 0;
 }
-double sumOver(const Servers& servers, const auto& figure) {
-    double sum = 0;
-    for (Index s = 0; s < servers.size(); ++s) sum += figure(s);
-    return sum;
-}
 double targetsOf(const Servers& servers) {
-    return sumOver(servers, [&](Index s) { return targetOf(servers, s); });
+    return servers.sum([&](Index s) { return targetOf(servers, s); });
 }
 
 /// Which servers serve, and how far each has risen.
@@ -124,16 +107,15 @@
 
     void list(bool whole, std::span<const ListedServer> entries, Micros now) {
         // Guards against a list that names running servers gone: where that need not bind, a probe decides.
-        const News ends = guards.goneBinds ? Gone : Doubtful;
+        const News ends = guards.goneBinds ? Gone : Lost;
         std::vector<char> named(servers.size(), 0);
         for (const auto& entry : entries) {
             const Index s = servers.add(entry);
             if (s < named.size()) named[s] = 1;
             servers.listed[s] = fleet.weightsListed && entry.weight > 0 ? entry.weight : 1;
             const bool fresh = entry.startedAt > std::exchange(servers.startedAt[s], entry.startedAt);
-            const News kNews[] = {ends, Ready, Drains};
-            const News news = kNews[static_cast<int>(entry.state)];
-            tell(s, news == Ready && fresh ? Started : news, now);
+            const News news[] = {ends, fresh ? Fresh : Ready, Drains};
+            tell(s, news[static_cast<int>(entry.state)], now);
         }
         for (Index s = 0; whole && s < named.size(); ++s)
             if (!named[s]) tell(s, ends, now);
@@ -158,7 +140,7 @@
     /// Once a period: what do the sums say of each server? Returns the stress of the whole fleet, if heard.
     std::optional<double> judge(double usualSla, Micros now) {
         if (!sumsCame || now - judgedAt < fleet.sumsPeriod * 9 / 10) return {};
-        const double span = seconds(judgedAt > 0us ? std::max(now - judgedAt, fleet.sumsPeriod) : fleet.sumsPeriod);
+        const double span = seconds(std::max(judgedAt > 0us ? now - judgedAt : 0us, fleet.sumsPeriod));
         settledRate = settled / span;
         sumsCame = false;
         judgedAt = now;
@@ -173,7 +155,7 @@
             const double part = (servers.unanswered[s] + late) / servers.tries[s];
             servers.pressed[s] = part + std::pow(kPressedFade, span) * (servers.pressed[s] - part);
             pressed.emplace_back(part, targetOf(servers, s));
-            // Failures tell of a jam only beside slow answers: lost answers and errors aren't cured by limits.
+            // Failures tell of a jam only beside slow answers: limits don't cure lost answers or errors.
             const double slow = std::clamp(2 * mean / kLateFrom - 1, 0.0, 1.0);
             jammed.emplace_back(part - (1 - slow) * servers.failing(s), targetOf(servers, s));
             tries += servers.tries[s];
@@ -186,35 +168,25 @@
             if (servers.serves(s)) {
                 const double share = servers.failing(s);
                 const bool enough = servers.tries[s] >= kSickTries;
-                // Proxies keep away from what fails them, so no line at all is a symptom too.
-                // A view takes as long as the reports pile up: it is counted in lines and tries, not in time.
+                // Proxies keep away from what fails them: no line is a symptom too. A view takes long where
+                // reports pile up, so it is counted in lines and tries, not in time.
                 const bool silent =
                     !servers.withdrawn[s] && lines - servers.linesThen[s] > kSilenceViews * view &&
                     (tried - servers.triedThen[s]) * targetOf(servers, s) > kSilenceTries * all;
                 const bool sick = enough && share >= kSickShare && share > stress + kSickOver;
                 const bool slow = enough && servers.pressed[s] >= kSlowPart && least < kStressAim &&
                                   servers.rung[s] > 1 && now - servers.changedAt[s] > kSettle;
-                if (silent || sick || slow || enough)
-                    tell(s, silent || sick || slow ? SumsBad : SumsGood, now);
+                const bool bad = silent || sick || slow;
+                if (bad || enough) tell(s, bad ? SumsBad : SumsWell, now);
             }
             for (auto* sum : {&servers.tries, &servers.unanswered, &servers.delay})
                 (*sum)[s] *= std::pow(kSumsFade, span);
         }
         return tries >= kSickTries ? std::optional(jam) : std::nullopt;
     }
-    /// The figure that so much of the weight does not pass.
-    static double reached(std::vector<std::pair<double, double>>& figures, double part) {
-        double rest = 0;
-        for (const auto& [figure, weight] : figures) rest += weight * part;
-        std::ranges::sort(figures);
-        for (const auto& [figure, weight] : figures)
-            if ((rest -= weight) <= 0) return figure;
-        return 0;
-    }
-
     void probes(Micros now) {
         for (Index s = 0; fleet.mayProbe && s < servers.size(); ++s) {
-            const bool wanted = servers.duty[s] == Suspect || servers.duty[s] == Missed || servers.duty[s] == ShutOut;
+            const bool wanted = servers.duty[s] != Serving && servers.duty[s] != Ended;
             if (!wanted || servers.probing[s] || now < servers.probeDue[s]) continue;
             servers.probing[s] = 1;
             servers.probeDue[s] = now + kProbeEvery + Micros(chance() % 100000);
@@ -230,9 +202,8 @@
         if (result.status == ProbeStatus::Rejected) return;
         // Some probes are shallow and answered while work hangs or waits: a quick answer clears neither a
         // server that answers next to nothing nor one that holds far more than the others for its weight.
-        const double usual =
-            sumOver(servers, [&](Index k) { return servers.serves(k) ? servers.load[k] : 0; }) /
-            sumOver(servers, [&](Index k) { return targetOf(servers, k); });
+        const auto held = [&](Index k) { return servers.serves(k) ? servers.load[k] : 0; };
+        const double usual = servers.sum(held) / targetsOf(servers);
         const double answered = servers.tries[s] - servers.unanswered[s];
         const bool mute = answered <= (1 - kHangShare) * servers.tries[s];
         const bool hung = servers.duty[s] == Suspect && servers.tries[s] >= kSickTries && mute;
@@ -246,12 +217,12 @@
                           (mute || (result.status != ProbeStatus::TimedOut &&
                                     (servers.failing(s) >= kSickShare || servers.duty[s] == Missed)));
         const News bad = dead || hung || servers.duty[s] == ShutOut ? ProbeBad : ProbeSlow;
-        tell(s, good ? ProbeGood : bad, now);
-        if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Rested, now);
+        tell(s, good ? ProbeWell : bad, now);
+        if (servers.goodProbes[s] >= kGoodProbes && now >= servers.heldUntil[s]) tell(s, Back, now);
     }
 
-    /// A server climbs a fifth a round, no faster than the slowest warming allows. Guards a cold one
-    /// against falling over: under a jam's repeats even a fifth can be too much, so it may wait at none.
+    /// A server climbs a fifth a round, no faster than the slowest warming allows. Guards a cold one against
+    /// falling over: under a jam's repeats even a fifth can be too much, so it may wait at none.
     void rise(double asked, bool mayClimb, Micros now) {
         const double targets = targetsOf(servers);
         double listed = 0;
@@ -264,16 +235,16 @@
             if (!servers.serves(s) || servers.rung[s] == kRungs) continue;
             if (!spare) servers.rung[s] = std::max(servers.rung[s], 1);
             const double warm = warmth(s, now);
-            const double able =
-                kFallPart * guards.fallMultiple * warm * (1 - stress) * settledRate * servers.listed[s] / listed;
+            const double able = kFallPart * guards.fallMultiple * warm * (1 - stress) * settledRate *
+                                servers.listed[s] / listed;
             const auto brings = [&](int rung) {
                 const double weight = servers.listed[s] * rung / kRungs;
                 return asked * weight / std::max(targets - targetOf(servers, s) + weight, weight);
             };
             const int next = servers.rung[s] + 1;
             const bool judged = settledRate > 0 && warm < 1;
-            if (mayClimb && (servers.heard[s] || warm < 1) && now >= servers.heldUntil[s] && next <= kRungs * kColdLean * warm &&
-                (!judged || brings(next) <= able)) {
+            if (mayClimb && (servers.heard[s] || warm < 1) && now >= servers.heldUntil[s] &&
+                next <= kRungs * kColdLean * warm && (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
@@ -282,11 +253,11 @@
         }
     }
 
-    /// How much of its capacity a server has at least, by the slowest warming that the terms allow.
+    /// How much of its capacity a server has at least.
     double warmth(Index s, Micros now) const {
         if (servers.startedAt[s] <= 0us || guards.coldSpan <= 0us) return 1;
-        const double part = std::clamp(seconds(now - servers.startedAt[s]) / seconds(guards.coldSpan), 0., 1.);
-        return guards.coldShare + (1 - guards.coldShare) * part;
+        const double age = seconds(now - servers.startedAt[s]) / seconds(guards.coldSpan);
+        return guards.coldShare + (1 - guards.coldShare) * std::clamp(age, 0.0, 1.0);
     }
 
     void tell(Index s, News news, Micros now) {
@@ -301,9 +272,8 @@
         case Probe: servers.probeDue[s] = now; return;
         case Shut:
         case Ease: {
-            const Micros least = row->effect == Shut ? kHoldLeast : kEaseLeast;
-            servers.hold[s] = least;
-            servers.heldUntil[s] = now + least;
+            servers.hold[s] = row->effect == Shut ? kHoldLeast : kEaseLeast;
+            servers.heldUntil[s] = now + servers.hold[s];
             servers.probeDue[s] = now + kProbeEvery;
             servers.goodProbes[s] = 0;
             if (row->effect == Shut) return;
@@ -326,7 +296,7 @@
     bool mayShut(Index s) const {
         const auto out = [&](Index k) { return (servers.duty[k] == ShutOut || k == s) * servers.listed[k]; };
         const auto all = [&](Index k) { return servers.serves(k) ? servers.listed[k] : out(k); };
-        return sumOver(servers, out) <= kDoubtPart * sumOver(servers, all);
+        return servers.sum(out) <= kDoubtPart * servers.sum(all);
     }
 };
 
@@ -342,7 +312,8 @@
 
     /// Where messages to a proxy are counted, the gap alone keeps the count: no batch writes sooner.
     bool open(Micros now) const {
-        return !sentAt || terms.messagesMost < 2 || now - *sentAt >= terms.messagesOver / (terms.messagesMost - 1);
+        return !sentAt || terms.messagesMost < 2 ||
+               now - *sentAt >= terms.messagesOver / (terms.messagesMost - 1);
     }
     double room() const { return kUrgentRoom * terms.queueMost - outbox.lines(); }
     /// For what can wait, beside what is on its way: the queue stays short for what can't.
@@ -393,7 +364,7 @@
     const Micros period; // of the sums
 
     const std::vector<ProductTerms> products;
-    std::vector<double> pass = std::vector<double>(products.size(), 1);  // by product: the share let in
+    std::vector<double> pass = std::vector<double>(products.size(), 1); // by product: the share let in
     bool limited = false;
     Micros blind{};            // no moves until this has passed
     double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
@@ -401,10 +372,10 @@
     /// The mean SLA time of what comes.
     double usualSla(const Proxies& proxies) const {
         const auto came = usageOf(proxies, products.size());
-        double work = 0;
-        for (Index p = 0; p < came.size(); ++p) work += came[p] * seconds(products[p].slaTime);
-        return work > 0 ? work / std::accumulate(came.begin(), came.end(), 0.0)
-                        : seconds(products[0].slaTime);
+        double work = 0, all = 0;
+        for (Index p = 0; p < came.size(); ++p)
+            work += came[p] * seconds(products[p].slaTime), all += came[p];
+        return all > 0 ? work / all : seconds(products[0].slaTime);
     }
     /// Txns a second that are let in.
     double asked(const Proxies& proxies) const {
@@ -415,7 +386,6 @@
     /// The whole fleet fails or is late: no more is let in than the best that it has settled for its weight,
     /// more or less by what is seen since; first the product with least revenue for its SLA time gives way.
     /// Guards against any jam: too many txns, dearer txns, lost servers. Harms if half the fleet is slow.
-
     void stressed(double stress, double settled, double weight, const Proxies& proxies) {
         const std::vector<double> came = usageOf(proxies, products.size());
         double passed = 0, work = 0, wanted = 0, spare = 0;
@@ -495,10 +465,8 @@
 
     /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
     void urgent(bool idle, Micros now) {
-        const double each =
-            static_cast<double>(proxies.size()) * (2 + channel.terms.headLines); // a message to each
-        // Those who joined since may hold tables with servers that ended long ago. Hundreds can't be bound within
-        // the grace, but each holds few such lines: they are withdrawn again.
+        const auto each = static_cast<double>(proxies.size()) * (2 + channel.terms.headLines); // a message
+        // Those who joined since may hold ended servers, and hundreds can't be bound within the grace.
         const bool again = newcomers && now - againAt >= kWindow;
         for (Index s = 0; s < servers.size(); ++s) {
             if (again && servers.withdrawn[s] && channel.room() >= each) withdraw(s, true);
@@ -515,7 +483,7 @@
         if (again) againAt = now, newcomers = channel.room() < each;
         // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
         for (auto& table : tables)
-            if (sumOver(servers, [&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
+            if (servers.sum([&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
                 for (Index s = 0; s < servers.size(); ++s)
                     if (target(table, s) > 0 && channel.room() >= each) line(table, s);
     }
@@ -546,16 +514,9 @@
 
     /// A zone where no proxy has joined needs no lines.
     double target(const Table& table, Index s) const {
-        const bool idle =
-            std::ranges::none_of(proxies, [&](auto& one) { return one.second.zone == table.zone; });
-        return idle || (table.zoneOnly && servers.zone[s] != table.zone) ? 0 : targetOf(servers, s);
-    }
-    double demand(const Table& table) const {
-        double sum = 0;
-        for (const auto& [id, proxy] : proxies)
-            for (Index p = 0; table.serves(proxy) && p < proxy.usage.size(); ++p)
-                sum += table.products >> p & 1U ? proxy.usage[p] : 0;
-        return sum;
+        const auto here = [&](const auto& one) { return one.second.zone == table.zone; };
+        const bool open = !table.zoneOnly || servers.zone[s] == table.zone;
+        return open && std::ranges::any_of(proxies, here) ? targetOf(servers, s) : 0;
     }
     bool differs() const {
         return std::ranges::any_of(tables, [&](const Table& table) {
@@ -591,7 +552,7 @@
         std::vector<Node> nodes;
         double usage = 0;
         for (auto& table : tables) {
-            Node node{&table, demand(table), 0};
+            Node node{&table, table.usage(proxies), 0};
             usage += node.demand;
             for (Index s = 0; s < n; ++s) {
                 node.whole += servers.withdrawn[s] ? 0 : table.standing[s];
@@ -648,9 +609,8 @@
         for (Index s = 0; s < servers.size(); ++s)
             if (servers.serves(s) && servers.heard[s]) known += servers.listed[s], ++heard;
         for (Index s = 0; s < servers.size(); ++s)
-            capacity[s] = servers.heard[s] || heard <= 0 || !servers.serves(s)
-                              ? targetOf(servers, s)
-                              : known / heard * servers.rung[s] / kRungs;
+            capacity[s] = targetOf(servers, s) *
+                          (servers.heard[s] || heard <= 0 ? 1 : known / heard / servers.listed[s]);
         const double all = std::accumulate(capacity.begin(), capacity.end(), 0.0);
         for (double& one : capacity) one = all > 0 ? kHeadroom * usage * one / all : 0;
     }
@@ -717,15 +677,14 @@
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.resting() || rounds_.answered(now_), now_);
-        channel_.outbox.forget(now_ - kForgotten, now_ - kUnasked);
+        channel_.outbox.forget(now_ - kForgotten);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
         const double half = channel_.spare(kBatch) / 2;
         if (half > 0) rounds_.urgent(idle, now_);
         // Guards against old tables that run out of servers while urgent orders take the whole channel.
-        if (half > 0 && (idle || std::ranges::any_of(rounds_.tables, [&](const Table& table) {
-                             return servers_.outShare(table.zone) >= kWorn;
-                         })))
+        const auto worn = [&](const Table& table) { return servers_.outShare(table.zone) >= kWorn; };
+        if (half > 0 && (idle || std::ranges::any_of(rounds_.tables, worn)))
             channel_.joiners(rounds_.tables, servers_, half);
         if (idle) {
             rounds_.play(now_);
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -33,7 +33,17 @@
     return at == std::end(rows) ? nullptr : &*at;
 }
 
-enum class Duty { Absent, Draining, Serving, Suspect, Missed, ShutOut, Any };
+/// The figure that so much of the weight does not pass; each comes with its weight.
+inline double reached(std::vector<std::pair<double, double>>& figures, double part) {
+    double rest = 0;
+    for (const auto& [figure, weight] : figures) rest += weight * part;
+    std::ranges::sort(figures);
+    for (const auto& [figure, weight] : figures)
+        if ((rest -= weight) <= 0) return figure;
+    return 0;
+}
+
+enum class Duty { Ended, Serving, Suspect, Missed, ShutOut, Any };
 
 /// Figures on servers in parallel arrays under a dense index; an index is never given to another server.
 struct Servers {
@@ -52,9 +62,8 @@
         if (!fresh) return at->second;
         id.push_back(entry.id);
         zone.push_back(entry.zone);
-        duty.push_back(Duty::Absent);
-        for (auto* one : {&startedAt, &probeDue, &heldUntil, &hold, &changedAt})
-            one->push_back(Micros{});
+        duty.push_back(Duty::Ended);
+        for (auto* one : {&startedAt, &probeDue, &heldUntil, &hold, &changedAt}) one->push_back(Micros{});
         for (auto* one : {&rung, &goodProbes}) one->push_back(0);
         for (auto* one : {&withdrawn, &probing, &heard}) one->push_back(0);
         for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load, &linesThen, &triedThen})
@@ -65,6 +74,11 @@
         const auto found = index.find(server);
         return found == index.end() ? nullptr : &found->second;
     }
+    double sum(const auto& figure) const { ///< of a figure, over all servers
+        double all = 0;
+        for (Index s = 0; s < size(); ++s) all += figure(s);
+        return all;
+    }
     double failing(Index s) const { return tries[s] > 0 ? unanswered[s] / tries[s] : 0; }
     double outShare(ZoneId of) const { ///< the part of a zone's servers that is withdrawn
         double out = 0, all = 0;
@@ -104,6 +118,13 @@
     std::map<Index, double> levels = {}; // by product, as last ordered
     double slowed = 1;                   // the share at which a deadlocked table moves
     bool serves(const Proxy& proxy) const { return proxy.bound && proxy.zone == zone; }
+    double usage(const Proxies& all) const { ///< txns a second of the proxies that it serves
+        double sum = 0;
+        for (const auto& [proxyId, proxy] : all)
+            for (Index p = 0; serves(proxy) && p < proxy.usage.size(); ++p)
+                sum += products >> p & 1U ? proxy.usage[p] : 0;
+        return sum;
+    }
 };
 
 /// The lines on their way: staged in this batch, or sent and perhaps still in the channel. Messages leave in
@@ -170,11 +191,8 @@
         }
         proxies.erase(found);
     }
-    /// Drops what was sent before `all`, and before `unasked` if nobody is left to answer.
-    void forget(Micros all, Micros unasked) {
-        std::erase_if(batches, [&](const Batch& one) {
-            return one.sentAt < all || (one.awaited == 0 && one.sentAt < unasked);
-        });
+    void forget(Micros before) {
+        std::erase_if(batches, [&](const Batch& one) { return one.sentAt < before; });
     }
     bool answered(std::optional<MarkId> number) const {
         return std::ranges::none_of(
