--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -50,6 +50,7 @@
 constexpr double kSlowProbe = 0.5, kHeavy = 2;   // part of the least SLA time; times the usual that it holds
 constexpr Micros kSettle = 3s, kOnset = 3s;      // before new doubts; until limits show in the sums
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
+constexpr double kOnsetStress = 0.2;             // above it a cold server waits at none for that long
 constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12, kJump = 1.2; // what they aim at; above it, if so much over the best comes
 constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06;    // moves a second for the stress, bounds
@@ -91,7 +92,6 @@
     return servers.sum([&](Index s) { return targetOf(servers, s); });
 }
 
-/// Which servers serve, and how far each has risen.
 struct Health {
     Servers& servers;
     OrderSink& sink;
@@ -99,7 +99,7 @@
     const GuardTerms guards;
     const Micros shortestSla;
     std::mt19937 chance;
-    Micros judgedAt{};
+    Micros judgedAt{}, calmAt{};
     bool sumsCame = false;
     double settled = 0, settledRate = 0, stress = 0;
     std::set<ZoneId> zonesHeard = {};
@@ -162,6 +162,7 @@
         }
         stress = reached(pressed, 0.5); // few sick ones don't make it
         const double jam = reached(jammed, 0.5), least = reached(pressed, kWellPart);
+        if (stress <= kOnsetStress) calmAt = now;
         const double all = targetsOf(servers);
         const auto view = static_cast<double>(servers.size() * zonesHeard.size());
         for (Index s = 0; s < servers.size(); ++s) {
@@ -225,6 +226,8 @@
     /// falling over: under a jam's repeats even a fifth can be too much, so it may wait at none.
     void rise(double asked, bool mayClimb, Micros now) {
         const double targets = targetsOf(servers);
+        // Proxies that avoid what fails heap txns on what answers: before limits can show, it waits at none.
+        const bool onset = stress > kOnsetStress && now - calmAt < kOnset;
         double listed = 0;
         bool spare = false; // some server is warm: nobody is left without one if a cold one waits
         for (Index s = 0; s < servers.size(); ++s) {
@@ -243,17 +246,17 @@
             };
             const int next = servers.rung[s] + 1;
             const bool judged = settledRate > 0 && warm < 1;
-            if (mayClimb && (servers.heard[s] || warm < 1) && now >= servers.heldUntil[s] &&
+            if (mayClimb && !onset && (servers.heard[s] || warm < 1) && now >= servers.heldUntil[s] &&
                 next <= kRungs * kColdLean * warm && (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
-            while (judged && servers.rung[s] > (spare ? 0 : 1) && brings(servers.rung[s]) > 1.5 * able)
+            while (judged && servers.rung[s] > (spare ? 0 : 1) &&
+                   (onset || brings(servers.rung[s]) > 1.5 * able))
                 --servers.rung[s];
         }
     }
 
-    /// How much of its capacity a server has at least.
     double warmth(Index s, Micros now) const {
         if (servers.startedAt[s] <= 0us || guards.coldSpan <= 0us) return 1;
         const double age = seconds(now - servers.startedAt[s]) / seconds(guards.coldSpan);
@@ -503,14 +506,10 @@
             if (row->effect == Move::SendStep) step(now);
         }
     }
-    void sent(std::optional<MarkId> number, Micros now) {
-        if (phase == Phase::Sent && sentAt == now) mark = number;
-    }
     bool answered(Micros now) const {
         return phase == Phase::Sent && sentAt != now &&
                (now - sentAt >= kRoundMost || channel.outbox.answered(mark));
     }
-    bool resting() const { return phase == Phase::Idle; }
 
     /// A zone where no proxy has joined needs no lines.
     double target(const Table& table, Index s) const {
@@ -676,7 +675,7 @@
             levels_.stressed(*stress, health_.settledRate, targetsOf(servers_), proxies_);
         health_.probes(now_);
         if (!channel_.open(now_)) return;
-        health_.rise(levels_.asked(proxies_), rounds_.resting() || rounds_.answered(now_), now_);
+        health_.rise(levels_.asked(proxies_), rounds_.phase == Phase::Idle || rounds_.answered(now_), now_);
         channel_.outbox.forget(now_ - kForgotten);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
@@ -691,7 +690,7 @@
             levels_.order(rounds_.tables, proxies_, channel_);
             channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch));
         }
-        rounds_.sent(channel_.send(now_), now_);
+        if (const auto mark = channel_.send(now_); rounds_.sentAt == now_) rounds_.mark = mark;
     }
 
 private:
