--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -50,8 +50,8 @@
 constexpr double kSlowProbe = 0.5, kHeavy = 2;   // part of the least SLA time; times the usual that it holds
 constexpr Micros kSettle = 3s, kOnset = 3s;      // before new doubts; until limits show in the sums
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
-constexpr double kOnsetStress = 0.2;             // above it a cold server waits at none for that long
-constexpr double kStressHigh = 0.3;              // share of tries that fail or are late: limits begin
+constexpr double kOnsetStress = 0.2, kNearlyWarm = 0.75; // above it one less warm waits at none for that long
+constexpr double kStressHigh = 0.3;                      // share of tries that fail or are late: limits begin
 constexpr double kStressAim = 0.12, kJump = 1.2; // what they aim at; above it, if so much over the best comes
 constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06;    // moves a second for the stress, bounds
 constexpr double kGainFirst = 0.85, kGainLeast = 0.5, kGainTop = 1.3; // at the onset; bounds
@@ -252,7 +252,7 @@
                 if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
             }
             while (judged && servers.rung[s] > (spare ? 0 : 1) &&
-                   (onset || brings(servers.rung[s]) > 1.5 * able))
+                   ((onset && warm < kNearlyWarm) || brings(servers.rung[s]) > 1.5 * able))
                 --servers.rung[s];
         }
     }
