--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -35,9 +35,9 @@
 constexpr double kFallPart = 0.75; // part of the falling multiple that a cold server is brought
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
-constexpr double kOldLines = 2;    // old tables are taken to name a server so many times the average
-constexpr double kWorn = 0.25;     // old tables are in need where this part of a zone is withdrawn
-constexpr Micros kForgotten = 10s; // messages without an answer for so long have left the channel
+constexpr double kOldLines = 2; // old tables are taken to name a server so many times the average
+constexpr double kWorn = 0.25;  // old tables are in need where this part of a zone is withdrawn
+constexpr Micros kForgotten = 10s, kUnasked = 2s; // unanswered messages have left; so if none is to answer
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3, kPressedFade = 0.5; // what a second leaves of each
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
@@ -676,7 +676,7 @@
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.phase == Phase::Idle || rounds_.answered(now_), now_);
-        channel_.outbox.forget(now_ - kForgotten);
+        channel_.outbox.forget(now_ - kForgotten, now_ - kUnasked);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
         const double half = channel_.spare(kBatch) / 2;
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -191,8 +191,11 @@
         }
         proxies.erase(found);
     }
-    void forget(Micros before) {
-        std::erase_if(batches, [&](const Batch& one) { return one.sentAt < before; });
+    /// Drops what was sent before `all`, and before `unasked` if no bound proxy is left to answer.
+    void forget(Micros all, Micros unasked) {
+        std::erase_if(batches, [&](const Batch& one) {
+            return one.sentAt < all || (one.awaited == 0 && one.sentAt < unasked);
+        });
     }
     bool answered(std::optional<MarkId> number) const {
         return std::ranges::none_of(
