--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -513,9 +513,7 @@
 
     /// A zone where no proxy has joined needs no lines.
     double target(const Table& table, Index s) const {
-        const auto here = [&](const auto& one) { return one.second.zone == table.zone; };
-        const bool open = !table.zoneOnly || servers.zone[s] == table.zone;
-        return open && std::ranges::any_of(proxies, here) ? targetOf(servers, s) : 0;
+        return table.used && (!table.zoneOnly || servers.zone[s] == table.zone) ? targetOf(servers, s) : 0;
     }
     bool differs() const {
         return std::ranges::any_of(tables, [&](const Table& table) {
@@ -669,8 +667,7 @@
         if (sliced_) return;
         if (!awake_) sink_.wakeAfter(kBeat);
         awake_ = true;
-        if (mustFollow_) sink_.followList();
-        mustFollow_ = false;
+        if (std::exchange(mustFollow_, false)) sink_.followList();
         if (const auto stress = health_.judge(levels_.usualSla(proxies_), now_))
             levels_.stressed(*stress, health_.settledRate, targetsOf(servers_), proxies_);
         health_.probes(now_);
@@ -678,7 +675,11 @@
         health_.rise(levels_.asked(proxies_), rounds_.phase == Phase::Idle || rounds_.answered(now_), now_);
         channel_.outbox.forget(now_ - kForgotten, now_ - kUnasked);
         const bool idle = channel_.spare(kIdle) > 0;
-        for (auto& table : rounds_.tables) table.standing.resize(servers_.size(), 0);
+        for (auto& table : rounds_.tables) {
+            table.standing.resize(servers_.size(), 0);
+            table.used =
+                std::ranges::any_of(proxies_, [&](auto& one) { return one.second.zone == table.zone; });
+        }
         const double half = channel_.spare(kBatch) / 2;
         if (half > 0) rounds_.urgent(idle, now_);
         // Guards against old tables that run out of servers while urgent orders take the whole channel.
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -116,6 +116,7 @@
     ProductSet products;
     std::vector<double> standing = {};   // weight of each server as last ordered
     std::map<Index, double> levels = {}; // by product, as last ordered
+    bool used = false;                   // some proxy of its zone has joined
     double slowed = 1;                   // the share at which a deadlocked table moves
     bool serves(const Proxy& proxy) const { return proxy.bound && proxy.zone == zone; }
     double usage(const Proxies& all) const { ///< txns a second of the proxies that it serves
