The outbox charges tables and finds its batches in one place; an eased server is a flag

The same lambda stood at both places that order lines for a table, two loops looked a batch up, and the span a server is held had only two values left since its doubling went.

--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -249,7 +249,7 @@
             if (mayClimb && !onset && (servers.heard[s] || warm < 1) && now >= servers.heldUntil[s] &&
                 next <= kRungs * kColdLean * warm && (!judged || brings(next) <= able)) {
                 servers.rung[s] = next;
-                if (servers.hold[s] >= kEaseLeast) servers.heldUntil[s] = now + servers.hold[s];
+                if (servers.eased[s]) servers.heldUntil[s] = now + kEaseLeast;
             }
             while (judged && servers.rung[s] > (spare ? 0 : 1) &&
                    ((onset && warm < kNearlyWarm) || brings(servers.rung[s]) > 1.5 * able))
@@ -275,8 +275,8 @@
         case Probe: servers.probeDue[s] = now; return;
         case Shut:
         case Ease: {
-            servers.hold[s] = row->effect == Shut ? kHoldLeast : kEaseLeast;
-            servers.heldUntil[s] = now + servers.hold[s];
+            servers.eased[s] = row->effect == Ease;
+            servers.heldUntil[s] = now + (servers.eased[s] ? kEaseLeast : kHoldLeast);
             servers.probeDue[s] = now + kProbeEvery;
             servers.goodProbes[s] = 0;
             if (row->effect == Shut) return;
@@ -434,7 +434,7 @@
                 if (std::abs(level - before) <= kLevelStep * std::max(level, before)) continue;
                 sink.admit(table.id, static_cast<ProductSet>(1U << p), level, FurtherTries::AfterProof);
                 before = level;
-                channel.outbox.charge([&](auto& proxy) { return table.serves(proxy); }, 1);
+                channel.outbox.charge(table, 1);
             }
     }
 
@@ -532,7 +532,7 @@
         table.standing[s] = target(table, s);
         if (table.standing[s] > 0 && servers.withdrawn[s]) withdraw(s, false);
         sink.setLine(table.id, servers.id[s], table.standing[s]);
-        channel.outbox.charge([&](auto& proxy) { return table.serves(proxy); }, 1);
+        channel.outbox.charge(table, 1);
     }
 
     struct Node {
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -51,9 +51,9 @@
     std::vector<ServerId> id;
     std::vector<ZoneId> zone;
     std::vector<Duty> duty;
-    std::vector<Micros> startedAt, probeDue, heldUntil, hold, changedAt;
+    std::vector<Micros> startedAt, probeDue, heldUntil, changedAt;
     std::vector<int> rung, goodProbes;
-    std::vector<char> withdrawn, probing, heard; // withdrawn: ordered out of all tables
+    std::vector<char> withdrawn, probing, heard, eased; // withdrawn: ordered out of all tables
     std::vector<double> listed, tries, unanswered, delay, pressed, load, linesThen, triedThen;
 
     Index size() const { return id.size(); }
@@ -63,9 +63,9 @@
         id.push_back(entry.id);
         zone.push_back(entry.zone);
         duty.push_back(Duty::Ended);
-        for (auto* one : {&startedAt, &probeDue, &heldUntil, &hold, &changedAt}) one->push_back(Micros{});
+        for (auto* one : {&startedAt, &probeDue, &heldUntil, &changedAt}) one->push_back(Micros{});
         for (auto* one : {&rung, &goodProbes}) one->push_back(0);
-        for (auto* one : {&withdrawn, &probing, &heard}) one->push_back(0);
+        for (auto* one : {&withdrawn, &probing, &heard, &eased}) one->push_back(0);
         for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load, &linesThen, &triedThen})
             one->push_back(0);
         return at->second;
@@ -150,9 +150,9 @@
         stagedLines += lines + (proxy.staged > 0 ? 0 : headLines + 1);
         proxy.staged += lines;
     }
-    void charge(const auto& concerns, double lines) {
+    void charge(const Table& table, double lines) {
         for (auto& [id, proxy] : proxies)
-            if (concerns(proxy)) stage(proxy, lines);
+            if (table.serves(proxy)) stage(proxy, lines);
     }
     /// For those that keep an old table: a standing one names a server with this chance, a whole one surely.
     void chargeOld(double named) {
@@ -181,15 +181,17 @@
         for (auto one = batches.begin(); one != newest; ++one) one->lines = 0;
         auto& waiting = found->second.waiting;
         const auto at = std::ranges::find(waiting, number, &std::pair<MarkId, double>::first);
-        if (at != waiting.end()) settle(waiting, at + 1);
+        if (at == waiting.end()) return;
+        for (auto one = waiting.begin(); one != at + 1; ++one)
+            if (Batch* batch = find(one->first))
+                batch->lines = --batch->awaited ? std::max(batch->lines - one->second, 0.0) : 0;
+        waiting.erase(waiting.begin(), at + 1);
     }
     void left(ProxyId id) { // what was on its way to it may still wait
         const auto found = proxies.find(id);
         if (found == proxies.end()) return;
-        for (const auto& [mark, lines] : found->second.waiting) {
-            const auto batch = std::ranges::find(batches, mark, &Batch::mark);
-            if (batch != batches.end()) --batch->awaited;
-        }
+        for (const auto& [mark, lines] : found->second.waiting)
+            if (Batch* batch = find(mark)) --batch->awaited;
         proxies.erase(found);
     }
     /// Drops what was sent before `all`, and before `unasked` if no bound proxy is left to answer.
@@ -204,13 +206,9 @@
     }
 
 private:
-    void settle(auto& waiting, auto end) {
-        for (auto one = waiting.begin(); one != end; ++one) {
-            const auto batch = std::ranges::find(batches, one->first, &Batch::mark);
-            if (batch == batches.end()) continue;
-            batch->lines = --batch->awaited ? std::max(batch->lines - one->second, 0.0) : 0;
-        }
-        waiting.erase(waiting.begin(), end);
+    Batch* find(MarkId mark) {
+        const auto at = std::ranges::find(batches, mark, &Batch::mark);
+        return at == batches.end() ? nullptr : &*at;
     }
 };
 
