--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,123 @@
+// zincstack: one planner on sockets. Wiring, signals and the exit code.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
+#include <exception>
+
+#include "net/address.h"
+#include "net/discovery_driver.h"
+#include "net/engine.h"
+#include "net/intake.h"
+#include "net/listener.h"
+#include "net/prober.h"
+#include "net/station.h"
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using namespace zincstack;
+
+constexpr std::size_t kBlocksMost = 4096;    // 64 MiB for all peers together
+constexpr std::size_t kOwnDescriptors = 128; // what is not for peers: probes, discovery, the program's own
+constexpr Micros kFirstListMost = 500ms;     // then the list as last had must do
+
+boost::asio::ip::tcp::endpoint addressOf(std::string_view field, const std::string& text) {
+    const auto at = net::parseAddress(text);
+    if (!at) throw Malformed("the address " + std::string(field) + " can't be read: '" + text + "'");
+    return *at;
+}
+
+std::size_t peersMost(std::uint32_t told) {
+    rlimit own{};
+    std::size_t most = told;
+    if (getrlimit(RLIMIT_NOFILE, &own) == 0) most = std::min<std::size_t>(most, own.rlim_cur);
+    return most > 2 * kOwnDescriptors ? most - kOwnDescriptors : most / 2;
+}
+
+int serve(const net::Station& station, const terms::StartTerms& start) {
+    const auto listen = addressOf("listen", station.listen);
+    const auto discovery = addressOf("discovery", station.discovery);
+
+    asio::io_context io(1);
+    net::Counters counters;
+    net::BufferPool pool(kBlocksMost);
+    net::Names names(start.productNames, start.zoneNames);
+    net::Engine* wakes = nullptr;
+    net::Prober* probes = nullptr;
+    net::Outbox outbox(
+        names, counters, [&](ServerId server) { probes->probe(server); },
+        [&](Micros span) { wakes->wakeAfter(span); });
+    const auto planner = makePlanner(station.seed, start.fleet, start.forwarders, start.channel, start.guards,
+                                     start.products, outbox);
+    net::Engine engine(io, *planner, outbox, counters, start.tick);
+    wakes = &engine;
+    net::Intake intake(engine, outbox, names, counters, start.forwarders.count);
+    net::Prober prober(io, names, intake, counters, pool, start.connectTimeout, !start.reportColumns.empty());
+    probes = &prober;
+    net::Listener listener(io, listen, peersMost(station.sockets), intake, outbox, counters, pool);
+    net::DiscoveryWatch watch(
+        station.discovery,
+        [&](ListNews news, const net::Json& members) {
+            const bool used = intake.list(news, members);
+            if (used) listener.serve();
+            return used;
+        },
+        counters);
+    net::DiscoveryDriver driver(io, discovery, watch, pool);
+
+    if (const auto* members = station.known.find("members")) intake.list(ListNews::Cached, *members);
+    listener.start();
+    driver.start();
+    asio::steady_timer first(io, kFirstListMost);
+    first.async_wait([&](const boost::system::error_code& error) {
+        if (!error) listener.serve();
+    });
+    asio::signal_set end(io, SIGTERM, SIGINT), ask(io, SIGUSR1);
+    end.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
+    std::function<void()> tell = [&] {
+        ask.async_wait([&](const boost::system::error_code& error, int) {
+            if (error) return;
+            spdlog::info("counters: {}", counters.text());
+            tell();
+        });
+    };
+    tell();
+    spdlog::info("{} listens on {}, {} products, {} zones, {} proxies", station.name, station.listen,
+                 start.products.size(), start.zoneNames.size(), start.forwarders.count);
+    try {
+        io.run();
+    } catch (const std::exception& error) {
+        spdlog::critical("ended by a failure: {}", error.what());
+        spdlog::info("counters: {}", counters.text());
+        return 1;
+    }
+    spdlog::info("counters: {}", counters.text());
+    spdlog::info("ended on a signal");
+    return 0;
+}
+
+} // namespace
+
+int main() {
+    spdlog::set_default_logger(spdlog::stderr_logger_st("zincstack"));
+    spdlog::set_pattern("%H:%M:%S.%e %l %v");
+    try {
+        const net::Station station = net::stationOfEnvironment();
+        const auto start = terms::readStartTerms(station.flat);
+        for (const auto& line : start.notices) spdlog::warn("{}", line);
+        return serve(station, start);
+    } catch (const Malformed& error) {
+        spdlog::critical("{}", error.what());
+        return 2;
+    } catch (const std::exception& error) {
+        spdlog::critical("{}", error.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/net/counters.cpp
@@ -0,0 +1,43 @@
+#include "net/counters.h"
+
+#include <spdlog/spdlog.h>
+
+namespace zincstack::net {
+
+namespace {
+
+constexpr auto kTellEvery = std::chrono::seconds(1);
+constexpr std::size_t kDetailMost = 120;
+
+constexpr std::string_view kNames[] = {
+    "accepted",    "closed",           "refused_full",   "evicted_strangers", "bytes_in",
+    "bytes_out",   "lines_in",         "alive_answered", "collectors",        "hellos",
+    "takeovers",   "streams_ended",    "acks",           "outcomes",          "demands",
+    "lists_whole", "lists_changed",    "lists_failed",   "probes_sent",       "probes_good",
+    "probes_bad",  "batches",          "late_batches",   "messages",          "parts",
+    "order_lines", "resyncs",          "bad_line",       "bad_kind",          "bad_field",
+    "bad_name",    "out_of_place",     "stale",          "too_long",          "no_room",
+    "bad_entry",   "broken_invariants"};
+static_assert(std::size(kNames) == static_cast<std::size_t>(Count::End_));
+
+} // namespace
+
+std::string_view nameOf(Count what) { return kNames[static_cast<std::size_t>(what)]; }
+
+void Counters::passedOver(Count what, std::string_view detail) {
+    add(what);
+    const auto now = std::chrono::steady_clock::now();
+    auto& told = toldAt_[static_cast<std::size_t>(what)];
+    if (told != std::chrono::steady_clock::time_point{} && now - told < kTellEvery) return;
+    told = now;
+    spdlog::warn("passed over: {}, {} so far: {}", nameOf(what), of(what), detail.substr(0, kDetailMost));
+}
+
+std::string Counters::text() const {
+    std::string out;
+    for (std::size_t k = 0; k < kSize; ++k)
+        if (all_[k]) out += (out.empty() ? "" : " ") + std::string(kNames[k]) + "=" + std::to_string(all_[k]);
+    return out;
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/counters.h
@@ -0,0 +1,75 @@
+// What the planner has taken in, sent and answered, and what it passed over; printed on request and at exit.
+#pragma once
+
+#include <array>
+#include <cassert>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace zincstack::net {
+
+enum class Count : std::uint8_t {
+    Accepted,
+    Closed,
+    RefusedFull,
+    EvictedStranger,
+    BytesIn,
+    BytesOut,
+    LinesIn,
+    ProbesAnswered,
+    Agents,
+    Hellos,
+    Takeovers,
+    StreamsEnded,
+    Acks,
+    Outcomes,
+    Demands,
+    ListsWhole,
+    ListsChanged,
+    ListsFailed,
+    ProbesSent,
+    ProbesGood,
+    ProbesBad,
+    Batches,
+    LateBatches,
+    Messages,
+    Parts,
+    OrderLines,
+    Resyncs,
+    BadLine,
+    BadKind,
+    BadField,
+    BadName,
+    OutOfPlace,
+    Stale,
+    TooLong,
+    NoRoom,
+    BadEntry,
+    BrokenInvariant,
+    End_
+};
+std::string_view nameOf(Count what);
+
+class Counters {
+public:
+    void add(Count what, std::uint64_t many = 1) { all_[static_cast<std::size_t>(what)] += many; }
+    std::uint64_t of(Count what) const { return all_[static_cast<std::size_t>(what)]; }
+    /// Counts what was passed over; at most one log line a second tells of each kind.
+    void passedOver(Count what, std::string_view detail);
+    /// Asserted in debug builds, counted in release builds.
+    void holds(bool truth) {
+        assert(truth);
+        if (!truth) passedOver(Count::BrokenInvariant, "");
+    }
+    /// All that are not zero, as name=value words.
+    std::string text() const;
+
+private:
+    static constexpr std::size_t kSize = static_cast<std::size_t>(Count::End_);
+    std::array<std::uint64_t, kSize> all_{};
+    std::array<std::chrono::steady_clock::time_point, kSize> toldAt_{};
+};
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/discovery_driver.cpp
@@ -0,0 +1,69 @@
+#include "net/discovery_driver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "net/client.h"
+#include "net/fatal.h"
+
+namespace zincstack::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+constexpr Micros kConnectMost = 1s;
+constexpr Micros kPaceLeast = 50ms, kPaceMost = 1s; // between tries that bring nothing
+
+} // namespace
+
+DiscoveryDriver::DiscoveryDriver(asio::io_context& io, asio::ip::tcp::endpoint at, DiscoveryWatch& watch,
+                                 BufferPool& pool)
+    : io_(io), at_(std::move(at)), watch_(watch), pool_(pool), timer_(io) {}
+
+void DiscoveryDriver::start() { asio::co_spawn(io_, follow(), rethrow); }
+
+asio::awaitable<void> DiscoveryDriver::follow() {
+    Micros pace = kPaceLeast;
+    bool answered = true;
+    for (;;) {
+        const bool before = std::exchange(answered, co_await converse());
+        if (before != answered)
+            spdlog::info("discovery: {}", answered ? "answers again" : "no answer, the old list holds");
+        if (answered) {
+            pace = kPaceLeast;
+            continue; // what it last said is followed by the next call at once
+        }
+        boost::system::error_code ignored;
+        timer_.expires_after(pace);
+        co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        pace = std::min(2 * pace, kPaceMost);
+    }
+}
+
+/// One connection, for as long as it is of use. True if it brought a list.
+asio::awaitable<bool> DiscoveryDriver::converse() {
+    asio::ip::tcp::socket socket(io_);
+    if (co_await connectTo(socket, at_, kConnectMost)) co_return false;
+    const auto block = pool_.take();
+    if (!block) co_return false;
+    bool answered = false;
+    std::string request = watch_.connected();
+    while (watch_.usable()) {
+        if (!request.empty() && co_await writeAll(socket, request)) break;
+        boost::system::error_code error;
+        const std::size_t got = co_await readPiece(socket, block, watch_.patience(), error);
+        if (error) break;
+        request = watch_.feed({block.data(), got});
+        answered |= !request.empty();
+    }
+    if (watch_.usable()) watch_.lost();
+    co_return answered;
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/discovery_driver.h
@@ -0,0 +1,31 @@
+// Keeps a connection to discovery up and carries the watch's bytes; silence means a new connection.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "net/buffer_pool.h"
+#include "net/discovery_watch.h"
+
+namespace zincstack::net {
+
+class DiscoveryDriver {
+public:
+    DiscoveryDriver(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint at, DiscoveryWatch& watch,
+                    BufferPool& pool);
+    void start();
+
+private:
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<bool> converse();
+
+    boost::asio::io_context& io_;
+    const boost::asio::ip::tcp::endpoint at_;
+    DiscoveryWatch& watch_;
+    BufferPool& pool_;
+    boost::asio::steady_timer timer_;
+};
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/discovery_watch.cpp
@@ -0,0 +1,96 @@
+#include "net/discovery_watch.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace zincstack::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Transport limits: how long discovery is asked to hold a watch, and how late any answer may be.
+constexpr Micros kWatchFor = 10s, kAnswerMost = 1500ms;
+
+} // namespace
+
+const DiscoveryWatch::Row DiscoveryWatch::kRows[] = {
+    {State::Apart, Input::Connected, State::AskedWhole, Effect::AskWhole},
+    {State::Apart, Input::ConnectedKnowing, State::Watching, Effect::AskNewer},
+    {State::AskedWhole, Input::List, State::Watching, Effect::AskNewer},
+    {State::Watching, Input::List, State::Watching, Effect::AskNewer},
+    {State::Any, Input::Unusable, State::Apart, Effect::LeaveAndForget},
+    {State::Any, Input::Lost, State::Apart, Effect::Leave},
+};
+
+DiscoveryWatch::DiscoveryWatch(std::string host, Told told, Counters& counters)
+    : host_(std::move(host)), told_(std::move(told)), counters_(counters) {}
+
+std::string DiscoveryWatch::connected() {
+    return step(revision_ ? Input::ConnectedKnowing : Input::Connected);
+}
+
+std::string DiscoveryWatch::feed(std::string_view bytes) {
+    const std::size_t taken = response_.feed(bytes);
+    if (response_.broken() || (response_.done() && taken != bytes.size())) return step(Input::Unusable);
+    if (!response_.done()) return {};
+    if (!answer()) return step(Input::Unusable);
+    if (!response_.keepsOpen()) return step(Input::Lost);
+    return step(Input::List);
+}
+
+void DiscoveryWatch::lost() {
+    response_.ended();
+    if (usable() && response_.done() && !answer()) counters_.passedOver(Count::ListsFailed, "answer");
+    step(Input::Lost);
+}
+
+Micros DiscoveryWatch::patience() const { return kAnswerMost + (state_ == State::Watching ? kWatchFor : 0s); }
+
+std::string DiscoveryWatch::step(Input input) {
+    const auto row = std::ranges::find_if(kRows, [&](const Row& one) {
+        return (one.state == state_ || one.state == State::Any) && one.input == input;
+    });
+    counters_.holds(row != std::end(kRows));
+    if (row == std::end(kRows)) return {};
+    state_ = row->next;
+    response_ = {};
+    std::string query;
+    switch (row->effect) {
+    case Effect::LeaveAndForget:
+        revision_.reset();
+        counters_.passedOver(Count::ListsFailed, "an answer of discovery that can't be used");
+        return {};
+    case Effect::Leave: return {};
+    case Effect::AskWhole: break;
+    case Effect::AskNewer:
+        query = "?index=" + *revision_ + "&wait=" +
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kWatchFor).count());
+    }
+    return "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n";
+}
+
+/// Passes a list on; false where it can't be used, and then the old one holds.
+bool DiscoveryWatch::answer() {
+    if (response_.status() != 200) return false;
+    try {
+        const Json all = readJson(response_.body());
+        const auto* revision = all.textOf("revision", Json::Kind::Number);
+        const auto* complete = all.textOf("complete", Json::Kind::Truth);
+        const Json* members = all.find("members");
+        if (!revision || !complete || !members || members->kind != Json::Kind::List) return false;
+        const bool whole = *complete == "true";
+        if ((whole || !members->items.empty()) &&
+            !told_(whole ? ListNews::Whole : ListNews::Changes, *members))
+            return false;
+        counters_.add(whole ? Count::ListsWhole : Count::ListsChanged);
+        revision_ = *revision;
+        return true;
+    } catch (const Malformed& error) {
+        counters_.passedOver(Count::BadLine, error.what());
+        return false;
+    }
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/discovery_watch.h
@@ -0,0 +1,57 @@
+// Follows the list of servers: what to ask next on a connection to discovery, and what its answers say.
+// A state machine fed bytes; it knows no socket.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/counters.h"
+#include "net/http_response.h"
+#include "net/json.h"
+#include "planner/planner.h"
+
+namespace zincstack::net {
+
+class DiscoveryWatch {
+public:
+    /// False: the members can't be used, and the old list holds.
+    using Told = std::function<bool(ListNews, const Json& members)>;
+
+    DiscoveryWatch(std::string host, Told told, Counters& counters);
+
+    /// A new connection is up: the request to write.
+    std::string connected();
+    /// Feeds what came. The next request, if one is due; `usable()` is false once the connection is spent.
+    std::string feed(std::string_view bytes);
+    /// The connection has ended or fallen silent.
+    void lost();
+    bool usable() const { return state_ != State::Apart; }
+    /// How long an answer may take before silence means that the connection is dead.
+    Micros patience() const;
+
+private:
+    enum class State { Apart, AskedWhole, Watching, Any };
+    enum class Input { Connected, ConnectedKnowing, List, Unusable, Lost };
+    enum class Effect { AskWhole, AskNewer, Leave, LeaveAndForget };
+    struct Row {
+        State state;
+        Input input;
+        State next;
+        Effect effect;
+    };
+    static const Row kRows[];
+
+    std::string step(Input input);
+    bool answer();
+
+    const std::string host_;
+    Told told_;
+    Counters& counters_;
+    State state_ = State::Apart;
+    HttpResponse response_;
+    std::optional<std::string> revision_;
+};
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/engine.cpp
@@ -0,0 +1,60 @@
+#include "net/engine.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace zincstack::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kHopsMost = 200;  // turns of the loop in which more may come in before a batch is decided
+constexpr Micros kLate = 100ms; // a batch that took longer to gather tells of a stall
+
+} // namespace
+
+Engine::Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters,
+               Micros gather)
+    : io_(io), planner_(planner), outbox_(outbox), counters_(counters), gather_(gather), gathered_(io),
+      wake_(io) {}
+
+Planner& Engine::input() {
+    ++inputs_;
+    if (!open_) {
+        open_ = true;
+        openedAt_ = clock_.now();
+        planner_.begin(openedAt_);
+        gathered_.expires_after(gather_);
+        gathered_.async_wait([this](const boost::system::error_code& error) {
+            if (!error) settle(kHopsMost);
+        });
+    }
+    return planner_;
+}
+
+/// After a stall much is waiting: as long as each turn of the loop brings something, it is taken in first.
+void Engine::settle(int hops) {
+    if (inputs_ != settled_ && hops > 0) {
+        settled_ = inputs_;
+        boost::asio::post(io_, [this, hops] { settle(hops - 1); });
+        return;
+    }
+    open_ = false;
+    const Micros now = clock_.now(); // the batch is decided as of now, however long it took to gather
+    counters_.add(Count::Batches);
+    if (now - openedAt_ > gather_ + kLate) counters_.add(Count::LateBatches);
+    planner_.begin(now);
+    planner_.decide();
+    outbox_.flush();
+}
+
+void Engine::wakeAfter(Micros span) {
+    wake_.expires_after(std::max(span, Micros{1}));
+    wake_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) input().woken();
+    });
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/engine.h
@@ -0,0 +1,52 @@
+// The planner's clock and its batches: an input opens one, all that is ready is taken in, then it decides and
+// the orders go out. Also its wakes.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+
+#include "net/counters.h"
+#include "net/outbox.h"
+#include "planner/planner.h"
+
+namespace zincstack::net {
+
+/// Unix time at the start plus what has passed since on the steady clock, so that it only moves forward.
+class Clock {
+public:
+    Micros now() const {
+        return unixAtStart_ + std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - start_);
+    }
+
+private:
+    std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+    Micros unixAtStart_ =
+        std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
+};
+
+class Engine {
+public:
+    Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters, Micros gather);
+
+    /// The planner, in a batch that is open from now on and is soon decided.
+    Planner& input();
+    void wakeAfter(Micros span);
+
+private:
+    void settle(int hops);
+
+    boost::asio::io_context& io_;
+    Planner& planner_;
+    Outbox& outbox_;
+    Counters& counters_;
+    const Micros gather_;
+    const Clock clock_;
+    boost::asio::steady_timer gathered_, wake_;
+    bool open_ = false;
+    Micros openedAt_{};
+    std::uint64_t inputs_ = 0, settled_ = 0;
+};
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/intake.cpp
@@ -0,0 +1,176 @@
+#include "net/intake.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace zincstack::net {
+
+Intake::Intake(Engine& engine, Outbox& outbox, Names& names, Counters& counters, std::uint32_t proxies)
+    : engine_(engine), outbox_(outbox), names_(names), counters_(counters), proxies_(proxies) {}
+
+std::optional<ProxyId> Intake::proxyOf(const Message& message) const {
+    const auto proxy = message.count("proxy", proxies_ - 1);
+    if (!proxy) return {};
+    return ProxyId{static_cast<std::uint16_t>(*proxy)};
+}
+
+bool Intake::agent(const Message& message) {
+    const auto name = message.find("zone");
+    if (!name || !names_.zone(*name)) {
+        counters_.passedOver(Count::BadName, "agent of a zone that is not known");
+        return false;
+    }
+    counters_.add(Count::Agents);
+    return true;
+}
+
+std::optional<ProxyId> Intake::hello(const Message& message, PushTarget& stream) {
+    const auto proxy = proxyOf(message);
+    const auto name = message.find("zone");
+    const auto zone = name ? names_.zone(*name) : std::nullopt;
+    const auto weight = message.number("weight");
+    const auto fresh = message.flag("fresh");
+    if (!proxy || !zone || !weight || !fresh) {
+        counters_.passedOver(proxy && name && !zone ? Count::BadName : Count::BadField, "hello");
+        return {};
+    }
+    counters_.add(Count::Hellos);
+    if (outbox_.joined(*proxy, stream)) counters_.add(Count::Takeovers);
+    engine_.input().joined(*proxy, *zone, *weight, *fresh);
+    return proxy;
+}
+
+/// Guards against the late end of an old stream: only the end of a proxy's own one is its leaving.
+void Intake::ended(ProxyId proxy, const PushTarget& stream) {
+    if (!outbox_.left(proxy, stream)) return;
+    counters_.add(Count::StreamsEnded);
+    engine_.input().left(proxy);
+}
+
+void Intake::ack(const Message& message, ProxyId proxy, const PushTarget& stream) {
+    const auto named = proxyOf(message);
+    const auto mark = message.count("mark", 65535);
+    if (!mark || !named || *named != proxy) return counters_.passedOver(Count::BadField, "ack");
+    if (!outbox_.owns(proxy, stream)) return counters_.add(Count::Stale);
+    counters_.add(Count::Acks);
+    engine_.input().applied(proxy, {static_cast<std::uint16_t>(*mark)});
+}
+
+void Intake::outcomes(const Message& message) {
+    constexpr std::uint32_t kMost = 0xffffffffU;
+    const auto zoneName = message.find("zone"), serverName = message.find("server");
+    const auto tries = message.count("tries", kMost), failed = message.count("failed", kMost);
+    const auto span = message.millis("span_ms");
+    const bool timed = message.find("mean_ms").has_value();
+    const auto mean = timed ? message.millis("mean_ms") : Micros{};
+    if (!zoneName || !serverName || !tries || !failed || !span || !mean)
+        return counters_.passedOver(Count::BadField, "outcomes");
+    const auto zone = names_.zone(*zoneName);
+    const auto server = names_.server(*serverName);
+    if (!zone || !server) return counters_.passedOver(Count::BadName, *serverName);
+    ServerSums line{*server, *zone, *tries, *failed, *mean, *span, {}};
+    if (const auto load = message.find("load")) line.report = report(*load, ':', ',');
+    counters_.add(Count::Outcomes);
+    engine_.input().sums(line);
+}
+
+void Intake::demand(const Message& message) {
+    constexpr std::uint32_t kMost = 0xffffffffU;
+    const auto proxy = proxyOf(message);
+    const auto name = message.find("class");
+    const auto tries = message.count("tries", kMost), failed = message.count("failed", kMost);
+    const auto span = message.millis("span_ms");
+    if (!proxy || !name || !tries || !failed || !span) return counters_.passedOver(Count::BadField, "demand");
+    const auto product = names_.product(*name);
+    if (!product) return counters_.passedOver(Count::BadName, *name);
+    counters_.add(Count::Demands);
+    engine_.input().usage({*proxy, *product, *tries, *failed, *span});
+}
+
+bool Intake::list(ListNews news, const Json& members) {
+    std::vector<ListedServer> entries;
+    std::vector<std::string_view> addresses;
+    for (const Json& member : members.items) {
+        ListedServer one;
+        std::string_view address;
+        if (!entry(member, one, address)) {
+            const auto* name = member.textOf("id", Json::Kind::Text);
+            counters_.passedOver(Count::BadEntry, name ? *name : "an entry without a name");
+            return false;
+        }
+        entries.push_back(one);
+        addresses.push_back(address);
+    }
+    for (std::size_t k = 0; k < entries.size(); ++k) {
+        entries[k].id = names_.listed(*members.items[k].textOf("id", Json::Kind::Text));
+        if (!addresses[k].empty()) names_.moved(entries[k].id, addresses[k]);
+    }
+    engine_.input().list(news, entries);
+    return true;
+}
+
+/// One that is gone needs no more than its name.
+bool Intake::entry(const Json& member, ListedServer& into, std::string_view& address) {
+    using enum Json::Kind;
+    static constexpr std::pair<std::string_view, ListedState> kPhases[] = {
+        {"Gone", ListedState::Gone}, {"Ready", ListedState::Ready}, {"Terminating", ListedState::Draining}};
+    const auto* name = member.textOf("id", Text);
+    const auto* phase = member.textOf("phase", Text);
+    if (!name || name->empty() || !phase) return false;
+    const auto state = std::ranges::find(kPhases, *phase, &std::pair<std::string_view, ListedState>::first);
+    if (state == std::end(kPhases)) return false;
+    into.state = state->second;
+    const bool gone = into.state == ListedState::Gone;
+
+    if (const auto* text = member.textOf("host_port", Text))
+        address = *text;
+    else if (!gone)
+        return false;
+    const auto* locality = member.textOf("locality", Text);
+    const auto zone = locality ? names_.zone(*locality) : std::nullopt;
+    if (zone)
+        into.zone = *zone;
+    else if (!gone)
+        return false;
+    const auto figure = [&](std::string_view field, double absent) -> std::optional<double> {
+        const Json* value = member.find(field);
+        if (!value || value->kind == Null) return absent;
+        return value->kind == Number ? parseNumber(value->text) : std::nullopt;
+    };
+    constexpr double kMillisMost = 1e13;
+    const auto since = figure("up_since_ms", 0), size = figure("size", 1), pod = figure("cell", 0);
+    if (!since || !size || !pod || *since > kMillisMost || *pod > 65535) return false;
+    into.startedAt = Micros(std::llround(*since * 1e3));
+    into.weight = *size;
+    into.pod = {static_cast<std::uint16_t>(*pod)};
+    return true;
+}
+
+LoadReport Intake::report(std::string_view text, char pairMark, char separator) const {
+    LoadReport out;
+    eachPart(text, separator, [&](std::string_view pair) {
+        while (pair.starts_with(' ')) pair.remove_prefix(1);
+        const auto mark = pair.find(pairMark);
+        if (mark == std::string_view::npos) return;
+        const auto name = pair.substr(0, mark);
+        const auto value = parseNumber(pair.substr(mark + 1));
+        if (!value) return counters_.passedOver(Count::BadField, "load");
+        if (name == "util") out.busyShare = value;
+        if (name == "queue") out.waiting = value;
+        if (name == "inflight") out.held = value;
+        if (name == "latency_ms") out.serviceMillis = value;
+    });
+    return out;
+}
+
+void Intake::probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body) {
+    constexpr std::string_view kTextForm = "TEXT ";
+    counters_.add(status == ProbeStatus::Answered ? Count::ProbesGood : Count::ProbesBad);
+    while (body.ends_with('\n') || body.ends_with('\r')) body.remove_suffix(1);
+    if (body.starts_with(kTextForm)) body.remove_prefix(kTextForm.size());
+    engine_.input().probed({server, status, delay, report(body, '=', ',')});
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/intake.h
@@ -0,0 +1,44 @@
+// From messages to the planner's inputs: checks what came, puts ids for names, and passes it on.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/engine.h"
+#include "net/json.h"
+#include "net/message.h"
+#include "net/names.h"
+#include "net/outbox.h"
+
+namespace zincstack::net {
+
+class Intake {
+public:
+    Intake(Engine& engine, Outbox& outbox, Names& names, Counters& counters, std::uint32_t proxies);
+
+    bool agent(const Message& message);
+    /// The proxy that has joined by this stream; none if the message can't be used.
+    std::optional<ProxyId> hello(const Message& message, PushTarget& stream);
+    void ended(ProxyId proxy, const PushTarget& stream);
+    void ack(const Message& message, ProxyId proxy, const PushTarget& stream);
+    void outcomes(const Message& message);
+    void demand(const Message& message);
+    /// False where an entry can't be used: nothing was passed on.
+    bool list(ListNews news, const Json& members);
+    void probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body);
+
+private:
+    std::optional<ProxyId> proxyOf(const Message& message) const;
+    bool entry(const Json& member, ListedServer& into, std::string_view& address);
+    LoadReport report(std::string_view text, char pairMark, char separator) const;
+
+    Engine& engine_;
+    Outbox& outbox_;
+    Names& names_;
+    Counters& counters_;
+    const std::uint32_t proxies_;
+};
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/prober.cpp
@@ -0,0 +1,74 @@
+#include "net/prober.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <utility>
+
+#include "net/address.h"
+#include "net/client.h"
+#include "net/fatal.h"
+#include "net/http_response.h"
+#include "net/within.h"
+
+namespace zincstack::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using Steady = std::chrono::steady_clock;
+
+constexpr std::size_t kAtOnceMost = 64;
+constexpr Micros kAnswerMost = 500ms;  // no answer after that
+constexpr Micros kConnectMost = 250ms; // where the start terms tell none
+
+} // namespace
+
+Prober::Prober(asio::io_context& io, const Names& names, Intake& intake, Counters& counters, BufferPool& pool,
+               Micros connectMost, bool reports)
+    : io_(io), names_(names), intake_(intake), counters_(counters), pool_(pool),
+      connectMost_(connectMost > 0s ? connectMost : kConnectMost), path_(reports ? "/-/load" : "/-/healthy") {
+}
+
+void Prober::probe(ServerId server) { asio::co_spawn(io_, run(server), rethrow); }
+
+asio::awaitable<void> Prober::run(ServerId server) {
+    if (running_ >= kAtOnceMost) {
+        intake_.probed(server, ProbeStatus::Rejected, 0s, {});
+        co_return;
+    }
+    ++running_;
+    counters_.add(Count::ProbesSent);
+    const auto start = Steady::now();
+    auto found = co_await within(kAnswerMost, ask(names_.address(server)));
+    --running_;
+    const auto delay = std::chrono::duration_cast<Micros>(Steady::now() - start);
+    const Found& seen = found ? *found : Found{ProbeStatus::TimedOut, {}};
+    intake_.probed(server, seen.status, delay, seen.body);
+}
+
+asio::awaitable<Prober::Found> Prober::ask(const std::string& address) {
+    const auto at = parseAddress(address);
+    asio::ip::tcp::socket socket(io_);
+    if (!at || co_await connectTo(socket, *at, connectMost_)) co_return Found{ProbeStatus::Unreachable, {}};
+    const auto block = pool_.take();
+    if (!block) co_return Found{ProbeStatus::Rejected, {}};
+    const std::string request =
+        "GET " + path_ + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n";
+    if (co_await writeAll(socket, request)) co_return Found{ProbeStatus::Broken, {}};
+    HttpResponse response;
+    while (!response.done() && !response.broken()) {
+        boost::system::error_code error;
+        const std::size_t got = co_await readPiece(socket, block, kAnswerMost, error);
+        response.feed({block.data(), got});
+        if (error) response.ended();
+    }
+    if (response.broken()) co_return Found{ProbeStatus::Broken, {}};
+    spdlog::debug("probe {} {} {}", response.status(), response.neverRan(), response.body());
+    if (response.status() == 200) co_return Found{ProbeStatus::Answered, response.body()};
+    co_return Found{response.neverRan() ? ProbeStatus::Rejected : ProbeStatus::Error, {}};
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/prober.h
@@ -0,0 +1,37 @@
+// Probes servers where the planner wants it: one call, one result.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "net/buffer_pool.h"
+#include "net/intake.h"
+#include "net/names.h"
+
+namespace zincstack::net {
+
+class Prober {
+public:
+    Prober(boost::asio::io_context& io, const Names& names, Intake& intake, Counters& counters,
+           BufferPool& pool, Micros connectMost, bool reports);
+    void probe(ServerId server);
+
+private:
+    struct Found {
+        ProbeStatus status;
+        std::string body;
+    };
+    boost::asio::awaitable<void> run(ServerId server);
+    boost::asio::awaitable<Found> ask(const std::string& address);
+
+    boost::asio::io_context& io_;
+    const Names& names_;
+    Intake& intake_;
+    Counters& counters_;
+    BufferPool& pool_;
+    const Micros connectMost_;
+    const std::string path_;
+    std::size_t running_ = 0;
+};
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/push_writer.cpp
@@ -0,0 +1,97 @@
+#include "net/push_writer.h"
+
+#include <array>
+#include <charconv>
+
+namespace zincstack::net {
+
+namespace {
+
+constexpr std::size_t kPartsMost = 64;
+constexpr std::size_t kRowBytesMost = 512 * 1024; // of one part, so that a line stays well under its limit
+
+std::string numberText(double value) {
+    std::array<char, 64> room{};
+    const auto end = std::to_chars(room.data(), room.data() + room.size(), static_cast<float>(value),
+                                   std::chars_format::fixed)
+                         .ptr;
+    return {room.data(), end};
+}
+
+std::string listText(const std::set<ServerId>& servers, const Names& names) {
+    std::string out;
+    for (const auto& one : servers) out += (out.empty() ? "" : ",") + names.of(one);
+    return out;
+}
+
+/// ` for=a+b`, or nothing where all products are meant.
+std::string forText(ProductSet products, const Names& names) {
+    std::string out;
+    bool all = true;
+    for (std::uint16_t p = 0; p < names.products(); ++p) {
+        if (products >> p & 1U)
+            out += (out.empty() ? " for=" : "+") + names.of(ProductId{p});
+        else
+            all = false;
+    }
+    return all ? std::string{} : out;
+}
+
+std::string levelText(const Level& level) {
+    return " gate=" + numberText(level.level) + " again=" + std::to_string(static_cast<int>(level.tries));
+}
+
+} // namespace
+
+std::string writePush(const PushMessage& message, const Names& names, Counters& counters) {
+    std::vector<std::string> parts;
+    std::size_t lines = 0;
+    for (const auto& table : message.tables) {
+        std::string rows;
+        bool whole = table.whole;
+        const std::string products = forText(table.products, names);
+        const auto flush = [&] {
+            if (rows.empty() && !whole) return;
+            parts.push_back(products + (whole ? " replace=1" : "") + (rows.empty() ? "" : " rows=" + rows));
+            lines += whole;
+            whole = false;
+            rows.clear();
+        };
+        for (const auto& [server, weight] : table.lines) {
+            rows += (rows.empty() ? "" : ",") + names.of(server) + ":" + numberText(weight);
+            ++lines;
+            if (rows.size() > kRowBytesMost) flush();
+        }
+        flush();
+        std::vector<std::pair<Level, ProductSet>> alike;
+        for (const auto& [product, level] : table.levels) {
+            const auto bit = static_cast<ProductSet>(1U << product.value);
+            bool found = false;
+            for (auto& [same, products_] : alike)
+                if (same == level) products_ = static_cast<ProductSet>(products_ | bit), found = true;
+            if (!found) alike.emplace_back(level, bit);
+        }
+        for (const auto& [level, of] : alike) {
+            parts.push_back(forText(of, names) + levelText(level));
+            ++lines;
+        }
+    }
+    std::string last;
+    if (!message.shut.empty()) last += " drop=" + listText(message.shut, names);
+    if (!message.let.empty()) last += " undrop=" + listText(message.let, names);
+    if (message.mark) last += " stamp=" + std::to_string(message.mark->value);
+    lines += message.shut.size() + message.let.size() + (message.mark ? 1 : 0);
+    if (parts.empty()) parts.emplace_back();
+    parts.back() += last;
+
+    std::string out;
+    for (std::size_t k = 0; k < parts.size(); ++k)
+        out += "push" + parts[k] + (k + 1 < parts.size() ? " part=1\r\n" : "\r\n");
+    counters.holds(parts.size() <= kPartsMost);
+    counters.add(Count::Messages);
+    counters.add(Count::Parts, parts.size());
+    counters.add(Count::OrderLines, lines);
+    return out;
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/net/station.h
@@ -0,0 +1,33 @@
+// What a planner is told where it is put up: its name and addresses, the seed, limits, the list as last had,
+// and the start terms as flat pairs.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "net/json.h"
+#include "terms/start_terms.h"
+
+namespace zincstack::net {
+
+struct Station {
+    std::string name;
+    std::string listen;
+    std::string discovery;
+    std::uint64_t seed = 0;
+    std::uint32_t sockets = 1024;
+    Json known; ///< in discovery's form; null where there is none
+    terms::FlatTerms flat;
+};
+
+/// Nested values as path=value pairs, in the form of the simulator's start text.
+void flatten(const Json& value, const std::string& path, terms::FlatTerms& into);
+
+/// Throws Malformed, naming the field.
+Station readStation(std::string_view text);
+
+/// Reads the file that the environment names; listen and discovery of the environment go before the file's.
+Station stationOfEnvironment();
+
+} // namespace zincstack::net
--- a/src/simwire/codec.h
+++ b/src/simwire/codec.h
@@ -13,17 +13,12 @@
 #include <vector>
 
 #include "planner/planner.h"
+#include "terms/malformed.h"
 
 namespace zincstack::simwire {
 
 static_assert(std::endian::native == std::endian::little, "the wire is little-endian, and so is this code");
 
-/// What is wrong with a frame or a start text, in one plain line.
-class Malformed : public std::runtime_error {
-public:
-    using std::runtime_error::runtime_error;
-};
-
 inline constexpr std::size_t kBatchHeaderBytes = 16;
 inline constexpr std::size_t kRecordHeaderBytes = 5;
 
--- a/src/simwire/main.cpp
+++ b/src/simwire/main.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-using zincstack::simwire::Malformed;
+using zincstack::Malformed;
 
 /// Fills `into` as far as the input goes and returns how much came.
 std::size_t readUpTo(std::span<std::byte> into) { return std::fread(into.data(), 1, into.size(), stdin); }
--- a/src/simwire/start_text.cpp
+++ b/src/terms/start_terms.cpp
@@ -1,36 +1,22 @@
-#include "simwire/start_text.h"
+#include "terms/start_terms.h"
 
 #include <charconv>
 #include <cmath>
-#include <map>
 
-#include "simwire/codec.h"
-
-namespace zincstack::simwire {
+namespace zincstack::terms {
 
 namespace {
 
 class Terms {
 public:
-    explicit Terms(std::string_view text) {
-        while (!text.empty()) {
-            const auto end = text.find('\n');
-            const auto line = text.substr(0, end);
-            text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
-            const auto equals = line.find('=');
-            if (line.empty()) continue;
-            if (equals == std::string_view::npos)
-                throw Malformed("start text: no '=' in line '" + std::string(line.substr(0, 60)) + "'");
-            values_.emplace(line.substr(0, equals), line.substr(equals + 1));
-        }
-    }
+    explicit Terms(const FlatTerms& values) : values_(values) {}
     const std::string* find(const std::string& path) const {
         const auto at = values_.find(path);
         return at == values_.end() ? nullptr : &at->second;
     }
     const std::string& word(const std::string& path) const {
         const auto* value = find(path);
-        if (!value) throw Malformed("start text: the required term " + path + " is missing");
+        if (!value) throw Malformed("start terms: the required term " + path + " is missing");
         return *value;
     }
     double number(const std::string& path) const { return parse(path, word(path)); }
@@ -43,7 +29,7 @@
     std::uint32_t count(const std::string& path, double most) const {
         const double value = number(path);
         if (value > most || value != std::floor(value))
-            throw Malformed("start text: " + path + " is no count up to " + std::to_string(most));
+            throw Malformed("start terms: " + path + " is no count up to " + std::to_string(most));
         return static_cast<std::uint32_t>(value);
     }
     bool flagOrFalse(const std::string& path) const {
@@ -52,7 +38,7 @@
     }
     static bool flag(const std::string& path, std::string_view value) {
         if (value != "true" && value != "false")
-            throw Malformed("start text: " + path + " is neither true nor false: '" + std::string(value) +
+            throw Malformed("start terms: " + path + " is neither true nor false: '" + std::string(value) +
                             "'");
         return value == "true";
     }
@@ -63,10 +49,10 @@
         const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), out);
         if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(out) || out < 0 ||
             out > 1e12)
-            throw Malformed("start text: " + path + " is no usable number: '" + value + "'");
+            throw Malformed("start terms: " + path + " is no usable number: '" + value + "'");
         return out;
     }
-    std::map<std::string, std::string, std::less<>> values_;
+    const FlatTerms& values_;
 };
 
 std::vector<std::string> commaList(const std::string* text) {
@@ -81,21 +67,36 @@
 
 /// The value that stands for a word; a word that is not known gets `unknown` and a notice.
 template <class T>
-T translate(StartText& out, const std::string& path, const std::string& word,
+T translate(StartTerms& out, const std::string& path, const std::string& word,
             std::initializer_list<std::pair<std::string_view, T>> words, T unknown) {
     for (const auto& [name, value] : words)
         if (name == word) return value;
-    out.notices.push_back("start text: " + path + " has a word that is not known: '" + word + "'");
+    out.notices.push_back("start terms: " + path + " has a word that is not known: '" + word + "'");
     return unknown;
 }
 
 } // namespace
 
-StartText readStartText(std::string_view text) {
-    const Terms terms(text);
-    StartText out;
-    out.fleet.zones =
-        static_cast<std::uint8_t>(std::min<std::size_t>(commaList(&terms.word("Zones")).size(), 255));
+FlatTerms splitText(std::string_view text) {
+    FlatTerms out;
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        const auto line = text.substr(0, end);
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+        const auto equals = line.find('=');
+        if (line.empty()) continue;
+        if (equals == std::string_view::npos)
+            throw Malformed("start terms: no '=' in line '" + std::string(line.substr(0, 60)) + "'");
+        out.emplace(line.substr(0, equals), line.substr(equals + 1));
+    }
+    return out;
+}
+
+StartTerms readStartTerms(const FlatTerms& flat) {
+    const Terms terms(flat);
+    StartTerms out;
+    out.zoneNames = commaList(&terms.word("Zones"));
+    out.fleet.zones = static_cast<std::uint8_t>(std::min<std::size_t>(out.zoneNames.size(), 255));
     out.fleet.planners = terms.count("Balancers", 1e6);
     out.fleet.weightsListed = terms.word("WeightKind") != "none";
     out.fleet.listMustBeAsked = terms.word("Discovery") == "subscribe";
@@ -127,7 +128,7 @@
     out.guards.goneBinds = !terms.flagOrFalse("Contract.OnlyDrainingBinds");
 
     const auto products = terms.count("Classes.count", 16);
-    if (products == 0) throw Malformed("start text: Classes.count is 0, and a planner needs a product");
+    if (products == 0) throw Malformed("start terms: Classes.count is 0, and a planner needs a product");
     const auto ownZone = commaList(terms.find("Extra.ZoneBound"));
     const auto writes = commaList(terms.find("Extra.ClassWrites"));
     for (std::uint32_t at = 0; at < products; ++at) {
@@ -145,9 +146,13 @@
         product.ownZoneOnly = at < ownZone.size() && Terms::flag("Extra.ZoneBound", ownZone[at]);
         product.writes = at >= writes.size() || Terms::flag("Extra.ClassWrites", writes[at]);
         out.products.push_back(product);
+        const auto* name = terms.find(path + "Name");
+        out.productNames.push_back(name ? *name : std::to_string(at));
     }
     out.reportColumns = commaList(terms.find("Reporting.Columns"));
+    out.tick = terms.timeOrZero("TickS");
+    out.connectTimeout = terms.timeOrZero("Allowed.ConnectTimeoutS");
     return out;
 }
 
-} // namespace zincstack::simwire
+} // namespace zincstack::terms
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 #include <cstring>
 
 #include "simwire/host.h"
-#include "simwire/start_text.h"
+#include "terms/start_terms.h"
 
 namespace zincstack::simwire {
 namespace {
@@ -140,7 +140,11 @@
         EXPECT_NE(fault(records, body).find(what), std::string::npos) << what;
 }
 
-TEST(StartText, TermsAreReadAndFaultsNamed) {
+terms::StartTerms readStartText(std::string_view text) {
+    return terms::readStartTerms(terms::splitText(text));
+}
+
+TEST(StartTerms, TermsAreReadAndFaultsNamed) {
     const auto start = readStartText(kTerms);
     EXPECT_EQ(start.products.at(0).slaTime, Micros(1'000'000));
     EXPECT_EQ(start.fleet.zones, 2);
