Tests of the network code and of the built planner against a loopback stand-in

Parsers and state machines are fed bytes cut at any place; the binary test speaks discovery, a proxy's two streams, a flood without a line end, SIGUSR1 and SIGTERM. The buffer pool outlives the loop, whose frames give blocks back when it ends.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,9 +45,9 @@
     const auto listen = addressOf("listen", station.listen);
     const auto discovery = addressOf("discovery", station.discovery);
 
-    asio::io_context io(1);
     net::Counters counters;
-    net::BufferPool pool(kBlocksMost);
+    net::BufferPool pool(kBlocksMost); // outlives what the loop still holds when it ends
+    asio::io_context io(1);
     net::Names names(start.productNames, start.zoneNames);
     net::Engine* wakes = nullptr;
     net::Prober* probes = nullptr;
@@ -89,8 +89,10 @@
         });
     };
     tell();
-    spdlog::info("{} listens on {}, {} products, {} zones, {} proxies", station.name, station.listen,
-                 start.products.size(), start.zoneNames.size(), start.forwarders.count);
+    const auto at = listener.address();
+    spdlog::info("{} listens on {}:{}, {} products, {} zones, {} proxies", station.name,
+                 at.address().to_string(), at.port(), start.products.size(), start.zoneNames.size(),
+                 start.forwarders.count);
     try {
         io.run();
     } catch (const std::exception& error) {
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -9,15 +9,47 @@
 constexpr auto kTellEvery = std::chrono::seconds(1);
 constexpr std::size_t kDetailMost = 120;
 
-constexpr std::string_view kNames[] = {
-    "accepted",    "closed",           "refused_full",   "evicted_strangers", "bytes_in",
-    "bytes_out",   "lines_in",         "alive_answered", "collectors",        "hellos",
-    "takeovers",   "streams_ended",    "acks",           "outcomes",          "demands",
-    "lists_whole", "lists_changed",    "lists_failed",   "probes_sent",       "probes_good",
-    "probes_bad",  "batches",          "late_batches",   "messages",          "parts",
-    "order_lines", "resyncs",          "bad_line",       "bad_kind",          "bad_field",
-    "bad_name",    "out_of_place",     "stale",          "too_long",          "no_room",
-    "bad_entry",   "broken_invariants"};
+constexpr std::string_view kNames[] = {"accepted",
+                                       "closed",
+                                       "refused_full",
+                                       "evicted_strangers",
+                                       "bytes_in",
+                                       "bytes_out",
+                                       "lines_in",
+                                       "alive_answered",
+                                       "collectors",
+                                       "hellos",
+                                       "takeovers",
+                                       "streams_ended",
+                                       "acks",
+                                       "outcomes",
+                                       "demands",
+                                       "lists_whole",
+                                       "lists_changed",
+                                       "lists_failed",
+                                       "probes_sent",
+                                       "probes_ok",
+                                       "probes_error",
+                                       "probes_rejected",
+                                       "probes_timed_out",
+                                       "probes_unreachable",
+                                       "probes_broken",
+                                       "batches",
+                                       "late_batches",
+                                       "messages",
+                                       "parts",
+                                       "order_lines",
+                                       "resyncs",
+                                       "bad_line",
+                                       "bad_kind",
+                                       "bad_field",
+                                       "bad_name",
+                                       "out_of_place",
+                                       "stale",
+                                       "too_long",
+                                       "no_room",
+                                       "bad_entry",
+                                       "broken_invariants"};
 static_assert(std::size(kNames) == static_cast<std::size_t>(Count::End_));
 
 } // namespace
@@ -36,7 +68,7 @@
 std::string Counters::text() const {
     std::string out;
     for (std::size_t k = 0; k < kSize; ++k)
-        if (all_[k]) out += (out.empty() ? "" : " ") + std::string(kNames[k]) + "=" + std::to_string(all_[k]);
+        if (all_[k]) out.append(out.empty() ? "" : " ").append(kNames[k]) += "=" + std::to_string(all_[k]);
     return out;
 }
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -88,7 +88,7 @@
         revision_ = *revision;
         return true;
     } catch (const Malformed& error) {
-        counters_.passedOver(Count::BadLine, error.what());
+        counters_.passedOver(Count::ListsFailed, error.what());
         return false;
     }
 }
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -167,7 +167,10 @@
 
 void Intake::probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body) {
     constexpr std::string_view kTextForm = "TEXT ";
-    counters_.add(status == ProbeStatus::Answered ? Count::ProbesGood : Count::ProbesBad);
+    static constexpr Count kCounts[] = {Count::ProbesOk,          Count::ProbesError,
+                                        Count::ProbesRejected,    Count::ProbesTimedOut,
+                                        Count::ProbesUnreachable, Count::ProbesBroken};
+    counters_.add(kCounts[static_cast<std::size_t>(status)]);
     while (body.ends_with('\n') || body.ends_with('\r')) body.remove_suffix(1);
     if (body.starts_with(kTextForm)) body.remove_prefix(kTextForm.size());
     engine_.input().probed({server, status, delay, report(body, '=', ',')});
--- a/src/net/line_framer.h
+++ b/src/net/line_framer.h
@@ -1,6 +1,7 @@
 // Cuts a stream of bytes, fed in any pieces, into lines. What waits for its end lies in blocks of the pool.
 #pragma once
 
+#include <algorithm>
 #include <cstring>
 #include <functional>
 #include <span>
--- a/src/net/push_writer.cpp
+++ b/src/net/push_writer.cpp
@@ -20,7 +20,7 @@
 
 std::string listText(const std::set<ServerId>& servers, const Names& names) {
     std::string out;
-    for (const auto& one : servers) out += (out.empty() ? "" : ",") + names.of(one);
+    for (const auto& one : servers) out.append(out.empty() ? "" : ",").append(names.of(one));
     return out;
 }
 
@@ -30,7 +30,7 @@
     bool all = true;
     for (std::uint16_t p = 0; p < names.products(); ++p) {
         if (products >> p & 1U)
-            out += (out.empty() ? " for=" : "+") + names.of(ProductId{p});
+            out.append(out.empty() ? " for=" : "+").append(names.of(ProductId{p}));
         else
             all = false;
     }
@@ -58,7 +58,7 @@
             rows.clear();
         };
         for (const auto& [server, weight] : table.lines) {
-            rows += (rows.empty() ? "" : ",") + names.of(server) + ":" + numberText(weight);
+            rows.append(rows.empty() ? "" : ",").append(names.of(server)) += ":" + numberText(weight);
             ++lines;
             if (rows.size() > kRowBytesMost) flush();
         }
--- a/src/net/station.cpp
+++ b/src/net/station.cpp
@@ -54,7 +54,7 @@
             if (nested)
                 flatten(value.items[k], below(std::to_string(k)), into);
             else
-                joined += (k ? "," : "") + plainWord(value.items[k].text);
+                joined.append(k ? "," : "") += plainWord(value.items[k].text);
         }
         if (nested)
             into[below("count")] = std::to_string(value.items.size());
--- /dev/null
+++ b/tests/daemon_test.cpp
@@ -0,0 +1,166 @@
+// The built planner against a loopback stand-in of discovery, collectors and proxies, from the published protocol.
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <utility>
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::string_view kTerms = R"({"Balancers":1,"Classes":[{"Name":"lookup","AimS":1.0,"DeadlineS":3.0,
+    "Effect":"retryable","Worth":3.0}],"Contract":{"ColdS":16.0,"DrainGraceS":2.0,"FallMultiple":4.0,
+    "OverloadForS":3.0,"StartCapacity":0.19},"Discovery":"automatic","Extra":{"BlackholeS":3.0,"DataPlaneSize":6,
+    "EgressPerS":7000.0,"Envelope":6.0,"QueueCap":14000.0,"ThrottleBy":"rps","PeriodS":1.0},"TickS":0.005,
+    "WeightKind":"rough","Zones":["a","b"]})";
+
+std::string member(std::string_view name, std::string_view phase) {
+    return R"({"id":")" + std::string(name) +
+           R"(","host_port":"127.0.0.1:1","locality":"a","flavor":"m","cell":1,"phase":")" +
+           std::string(phase) + R"(","size":1.0,"up_since_ms":0})";
+}
+std::string answer(int revision, bool whole, const std::string& members) {
+    const std::string body = R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" +
+                             (whole ? "true" : "false") + R"(,"members":[)" + members + "]}";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A connection with blocking reads, each bounded by the alarm of the whole test.
+struct Peer {
+    tcp::socket socket;
+    std::string held;
+    void write(const std::string& text) { asio::write(socket, asio::buffer(text)); }
+    std::string until(std::string_view end) {
+        const std::size_t size = asio::read_until(socket, asio::dynamic_buffer(held), end);
+        std::string out = held.substr(0, size);
+        held.erase(0, size);
+        return out;
+    }
+    /// The next line that holds the words, past those that do not.
+    std::string lineWith(std::string_view words) {
+        for (;;)
+            if (std::string line = until("\r\n"); line.find(words) != std::string::npos) return line;
+    }
+};
+
+struct Daemon : testing::Test {
+    asio::io_context io;
+    tcp::acceptor discovery{io, {asio::ip::address_v4::loopback(), 0}};
+    std::string path = testing::TempDir() + "zincstack-" + std::to_string(getpid()) + ".json";
+    pid_t pid = 0;
+    FILE* log = nullptr;
+
+    void start(const std::string& listen, std::string_view discoveryField = "discovery") {
+        std::ofstream(path)
+            << R"({"name":"n1","listen":")" << listen << R"(",")" << discoveryField << R"(":"127.0.0.1:)"
+            << discovery.local_endpoint().port()
+            << R"(","seed":"1f","limits":{"sockets":256},"known":{"revision":1,"complete":true,"members":[)"
+            << member("s-0", "Ready") << R"(]},"settings":)" << kTerms << "}";
+        int ends[2];
+        ASSERT_EQ(pipe(ends), 0);
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        posix_spawn_file_actions_adddup2(&files, ends[1], 2);
+        posix_spawn_file_actions_addclose(&files, ends[0]);
+        const std::string variable = "PROXY_CONFIG=" + path;
+        char program[] = ZINCSTACK_PROGRAM;
+        char* arguments[] = {program, nullptr};
+        char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
+        ASSERT_EQ(posix_spawn(&pid, program, &files, nullptr, arguments, environment), 0);
+        posix_spawn_file_actions_destroy(&files);
+        close(ends[1]);
+        log = fdopen(ends[0], "r");
+        alarm(60); // nothing here takes so long
+    }
+    std::string logLine(std::string_view words) {
+        char line[4096];
+        while (std::fgets(line, sizeof line, log))
+            if (std::string_view(line).find(words) != std::string_view::npos) return line;
+        return {};
+    }
+    int exitCode() {
+        int status = -1;
+        waitpid(std::exchange(pid, 0), &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    Peer dial(std::uint16_t port) {
+        Peer out{tcp::socket(io), {}};
+        out.socket.connect({asio::ip::address_v4::loopback(), port});
+        return out;
+    }
+    void TearDown() override {
+        if (pid) kill(pid, SIGKILL), exitCode();
+        if (log) std::fclose(log);
+        unlink(path.c_str());
+        alarm(0);
+    }
+};
+
+TEST_F(Daemon, ServesProxiesFollowsTheListAndEndsCleanly) {
+    start("127.0.0.1:0");
+    const std::string line = logLine("listens on");
+    const auto port = static_cast<std::uint16_t>(std::stoi(line.substr(line.find("127.0.0.1:") + 10)));
+    Peer stranger = dial(port), first = dial(port);
+    first.write("probe\r\n");
+    EXPECT_EQ(first.until("\r\n"), "alive\r\n"); // discovery says nothing yet: the list as last had must do
+    first.write("hel");
+    first.write("lo proxy=2 zone=a weight=9 fresh=1\r\n");
+    EXPECT_EQ(first.until("\r\n"), "push replace=1 rows=s-0:1 part=1\r\n");
+    EXPECT_EQ(first.until("\r\n"), "push gate=1000000 again=1 undrop=s-0 stamp=1\r\n");
+
+    Peer agent{tcp::socket(io), {}};
+    discovery.accept(agent.socket);
+    EXPECT_EQ(agent.until("\r\n"), "GET /api/targets HTTP/1.1\r\n");
+    agent.until("\r\n\r\n");
+    first.write("nonsense\r\nack proxy=2 mark=1 took_ms=3\r\n");
+    agent.write(answer(2, true, member("s-1", "Ready") + "," + member("s-2", "Ready")));
+    const std::string changed = first.lineWith("s-1");
+    EXPECT_NE(changed.find("s-0:0"), std::string::npos) << changed; // missing from a whole list: gone
+    EXPECT_EQ(agent.until("\r\n"), "GET /api/targets?index=2&wait=10000 HTTP/1.1\r\n");
+
+    Peer second = dial(port); // the proxy's new stream comes before the old one's end
+    second.write("hello proxy=2 zone=a weight=9 fresh=0\r\n");
+    second.lineWith("replace=1");
+    first.socket.close();
+    agent.write(answer(3, false, member("s-2", "Terminating")));
+    second.lineWith("s-2:0");
+
+    Peer flood = dial(port);
+    boost::system::error_code gone;
+    while (!gone) asio::write(flood.socket, asio::buffer(std::string(1 << 16, 'x')), gone);
+    second.write("probe\r\n");
+    EXPECT_EQ(second.lineWith("alive"), "alive\r\n");
+
+    kill(pid, SIGUSR1);
+    EXPECT_NE(logLine("counters:").find("hellos=2 takeovers=1"), std::string::npos);
+    kill(pid, SIGTERM);
+    const std::string last = logLine("counters:");
+    EXPECT_NE(last.find("bad_kind=1 too_long=1"), std::string::npos) << last;
+    EXPECT_EQ(exitCode(), 0);
+}
+
+TEST_F(Daemon, AnUnusableStartIsToldInOneLine) {
+    start("127.0.0.1:0", "discovered");
+    EXPECT_NE(logLine("field discovery is missing").find("critical"), std::string::npos);
+    EXPECT_EQ(exitCode(), 2);
+}
+
+TEST_F(Daemon, AnAddressThatIsTakenIsToldWithExitCodeOne) {
+    start("127.0.0.1:" + std::to_string(discovery.local_endpoint().port()));
+    EXPECT_NE(logLine("critical").find("Address already in use"), std::string::npos);
+    EXPECT_EQ(exitCode(), 1);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,486 @@
+// The network code's parsers and state machines, fed bytes cut at any place, and what reaches the planner.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "net/discovery_watch.h"
+#include "net/peer_session.h"
+#include "net/prober.h"
+#include "net/station.h"
+
+namespace zincstack::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Feeds `text` in pieces of any sizes.
+void inPieces(std::string_view text, const auto& feed) {
+    while (!text.empty()) {
+        const auto size = std::min<std::size_t>(text.size(), *rc::gen::inRange(1, 40));
+        feed(text.substr(0, size));
+        text.remove_prefix(size);
+    }
+}
+std::string faultOf(const auto& call) {
+    try {
+        call();
+    } catch (const Malformed& error) { return error.what(); }
+    return "";
+}
+
+TEST(JsonReader, ReadsATreeAndNamesTheOffsetOfAFault) {
+    const Json all = readJson(R"( {"a":[1, -2.5e3, true, null],"b\u00e9\n":{"c":"\ud83d\ude00"}} )");
+    EXPECT_EQ(all.find("a")->items.at(1).text, "-2.5e3");
+    EXPECT_EQ(*all.find("b\xc3\xa9\n")->textOf("c", Json::Kind::Text), "\xf0\x9f\x98\x80");
+    EXPECT_EQ(all.textOf("a", Json::Kind::Text), nullptr);
+    const std::pair<std::string_view, std::string_view> faults[] = {{R"({"a":})", "offset 5"},
+                                                                    {R"(["a)", "without an end"},
+                                                                    {"[1]x", "after the end"},
+                                                                    {R"("\q")", "escape"},
+                                                                    {R"("\u12g4")", "hex digits"}};
+    for (const auto& [text, what] : faults)
+        EXPECT_NE(faultOf([&, t = text] { readJson(t); }).find(what), std::string::npos) << text;
+    EXPECT_NE(faultOf([] { readJson(std::string(100'000, '[')); }).find("too deep"), std::string::npos);
+}
+
+RC_GTEST_PROP(JsonReader, APartOfATextIsAFaultAndNothingWorse, ()) {
+    const std::string text = R"({"revision":41,"complete":true,"members":[{"id":"s\n1","size":1.5e0}]})";
+    const auto size = *rc::gen::inRange<std::size_t>(0, text.size());
+    RC_ASSERT(!faultOf([&] { readJson(std::string_view(text).substr(0, size)); }).empty());
+}
+
+constexpr std::string_view kPosting =
+    R"({"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+    "limits":{"sockets":512},"settings":{"Zones":["a","b c"],"Classes":[{"Name":"x","AimS":1.0},{"Name":"y"}],
+    "Extra":{"ZoneBound":[false,true]},"Nothing":null}})";
+
+TEST(StationFile, NestedTermsBecomePairsAndFaultsNameTheField) {
+    const Station station = readStation(kPosting);
+    EXPECT_EQ(station.seed, 0x8c1f30d27a5be964U);
+    EXPECT_EQ(station.sockets, 512U);
+    const terms::FlatTerms wanted{{"Zones", "a,b_c"},      {"Classes.count", "2"},
+                                  {"Classes.0.Name", "x"}, {"Classes.0.AimS", "1.0"},
+                                  {"Classes.1.Name", "y"}, {"Extra.ZoneBound", "false,true"}};
+    EXPECT_EQ(station.flat, wanted);
+    for (const std::string_view field : {"name", "listen", "discovery", "seed", "settings"}) {
+        std::string text(kPosting);
+        text.replace(text.find(field), field.size(), "other");
+        EXPECT_NE(faultOf([&] { readStation(text); }).find("field " + std::string(field)), std::string::npos);
+    }
+}
+
+RC_GTEST_PROP(LineFramer, LinesAreTheSameHoweverTheyAreCut, ()) {
+    BufferPool pool(8);
+    std::string all;
+    std::vector<std::string> wanted, got;
+    for (int k = *rc::gen::inRange(0, 6); k > 0; --k) {
+        wanted.emplace_back(*rc::gen::inRange<std::size_t>(0, 300), static_cast<char>('a' + k));
+        all += wanted.back() + "\r\n";
+    }
+    LineFramer framer(pool);
+    inPieces(all + "rest", [&](std::string_view piece) {
+        RC_ASSERT(framer.feed(piece, [&](std::string_view line) { got.emplace_back(line); }) ==
+                  LineFramer::Outcome::Going);
+    });
+    RC_ASSERT(got == wanted);
+    RC_ASSERT(pool.out() == 1U);
+}
+
+TEST(LineFramer, ALineWithoutEndIsGivenUpAndItsBlocksComeBack) {
+    BufferPool pool(100), small(2);
+    const std::string much(kBlockBytes, 'x');
+    const auto outcome = [&](BufferPool& from) {
+        LineFramer framer(from);
+        auto last = LineFramer::Outcome::Going;
+        for (int k = 0; k < 80 && last == LineFramer::Outcome::Going; ++k) last = framer.feed(much, {});
+        return last;
+    };
+    EXPECT_EQ(outcome(pool), LineFramer::Outcome::TooLong);
+    EXPECT_EQ(outcome(small), LineFramer::Outcome::NoRoom);
+    EXPECT_EQ(pool.out() + small.out(), 0U);
+}
+
+TEST(MessageParser, WordsAndNumbers) {
+    const auto message = parseMessage("ack proxy=17 mark=905 took_ms=310.4");
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->count("proxy", 20), 17U);
+    EXPECT_FALSE(message->count("proxy", 16));
+    EXPECT_EQ(message->millis("took_ms"), Micros(310'400));
+    for (const std::string_view bad : {"", "ack proxy", "ack =1"}) EXPECT_FALSE(parseMessage(bad)) << bad;
+    for (const std::string_view bad : {"nan", "inf", "-1", "1x", "", "1e999"})
+        EXPECT_FALSE(parseNumber(bad)) << bad;
+}
+
+HttpResponse responseOf(std::string_view text, bool ends) {
+    HttpResponse out;
+    inPieces(text, [&](std::string_view piece) { out.feed(piece); });
+    if (ends) out.ended();
+    return out;
+}
+
+RC_GTEST_PROP(HttpReader, BodiesOfEachKindInAnyPieces, ()) {
+    const std::string_view texts[] = {
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=1\r\nllo\r\n0\r\nT: v\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.0 200 OK\r\n\r\nhello"};
+    for (const auto text : texts) {
+        const auto response = responseOf(text, text.starts_with("HTTP/1.0"));
+        RC_ASSERT(response.done());
+        RC_ASSERT(response.status() == 200);
+        RC_ASSERT(response.body() == "hello");
+    }
+    const std::string_view cut = texts[*rc::gen::inRange(0, 3)];
+    RC_ASSERT(responseOf(cut.substr(0, *rc::gen::inRange<std::size_t>(0, cut.size())), true).broken());
+}
+
+TEST(HttpReader, WhatIsNoResponseIsBroken) {
+    for (const std::string_view bad :
+         {"HTTP/2 200\r\n", "\r\n", "HTTP/1.1 abc no\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n", "HTTP/1.1 200 OK\r\nnocolon\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
+        HttpResponse response;
+        response.feed(bad);
+        EXPECT_TRUE(response.broken()) << bad;
+    }
+}
+
+/// Writes down what it is told, and orders what the test wants ordered.
+struct Recorder : Planner {
+    std::vector<std::string> seen;
+    std::function<void()> orders;
+    std::vector<ListedServer> listed;
+    std::vector<ServerSums> summed;
+    std::vector<ProbeResult> results;
+    void note(std::string text) { seen.push_back(std::move(text)); }
+    void begin(Micros) override {}
+    void list(ListNews news, std::span<const ListedServer> entries) override {
+        note("list " + std::to_string(static_cast<int>(news)) + " " + std::to_string(entries.size()));
+        listed.assign(entries.begin(), entries.end());
+    }
+    void joined(ProxyId proxy, ZoneId zone, double, bool fresh) override {
+        note("joined " + std::to_string(proxy.value) + " zone " + std::to_string(zone.value) +
+             (fresh ? " fresh" : ""));
+    }
+    void left(ProxyId proxy) override { note("left " + std::to_string(proxy.value)); }
+    void sums(const ServerSums& line) override { summed.push_back(line); }
+    void usage(const UsageSums& line) override {
+        note("usage " + std::to_string(line.product.value) + " " + std::to_string(line.txns));
+    }
+    void applied(ProxyId, MarkId mark) override { note("applied " + std::to_string(mark.value)); }
+    void probed(const ProbeResult& result) override { results.push_back(result); }
+    void woken() override {}
+    void decide() override {
+        if (orders) std::exchange(orders, {})();
+    }
+};
+
+struct Reader : PushTarget {
+    std::string got;
+    bool slow = false;
+    bool push(std::string_view bytes) override {
+        if (!slow) got += bytes;
+        return !slow;
+    }
+    bool idle() const override { return !slow; }
+    std::string take() { return std::exchange(got, {}); }
+};
+
+struct Desk : testing::Test {
+    boost::asio::io_context io;
+    Counters counters;
+    BufferPool pool{64};
+    Names names{{"lookup", "order"}, {"a", "b"}};
+    Recorder planner;
+    std::vector<ServerId> probes;
+    Outbox outbox{names, counters, [this](ServerId server) { probes.push_back(server); }, [](Micros) {}};
+    Engine engine{io, planner, outbox, counters, 0us};
+    Intake intake{engine, outbox, names, counters, 20};
+    int alive = 0;
+    ServerId s1, s2;
+    const TableId table{3};
+
+    void settle() {
+        io.restart();
+        io.run();
+    }
+    void order(std::function<void()> orders) {
+        planner.orders = std::move(orders);
+        engine.input();
+        settle();
+    }
+    std::unique_ptr<PeerSession> session(Reader& reader) {
+        return std::make_unique<PeerSession>(intake, counters, pool, reader, [this] { ++alive; });
+    }
+    std::unique_ptr<PeerSession> proxy(Reader& reader) {
+        auto out = session(reader);
+        out->feed("hello proxy=17 zone=b weight=21.5 fresh=0\r\n");
+        return out;
+    }
+    void listTwo() {
+        const Json all = readJson(
+            R"([{"id":"s-1","host_port":"127.0.0.1:1","locality":"a","cell":3,"phase":"Ready","size":1.5,"up_since_ms":2},
+                {"id":"s-2","host_port":"127.0.0.1:2","locality":"b","cell":3,"phase":"Terminating","size":1}])");
+        ASSERT_TRUE(intake.list(ListNews::Whole, all));
+        s1 = *names.server("s-1"), s2 = *names.server("s-2");
+    }
+};
+
+TEST_F(Desk, MessagesBecomeInputsAndWhatIsBadIsCountedAndSkipped) {
+    listTwo();
+    EXPECT_EQ(planner.listed.at(0).startedAt, 2ms);
+    EXPECT_EQ(planner.listed.at(1).state, ListedState::Draining);
+    Reader collectorEnd, proxyEnd;
+    const auto collector = session(collectorEnd), stream = session(proxyEnd);
+    EXPECT_TRUE(
+        collector->feed("probe\r\nagent zone=b\r\noutcomes zone=b server=s-2 tries=212 failed=3 mean_ms=41.7 "
+                        "span_ms=1000.0 load=queue:7,util:0.61,new:1\r\nprobe\r\ndemand proxy=3 class=order "
+                        "tries=19 failed=0 span_ms=1000.0\r\n"));
+    EXPECT_EQ(alive, 2);
+    ASSERT_EQ(planner.summed.size(), 1U);
+    const ServerSums line = planner.summed[0];
+    EXPECT_EQ(line.server, s2);
+    EXPECT_EQ(line.meanDelay, Micros(41'700));
+    EXPECT_EQ(line.report.busyShare, 0.61);
+    EXPECT_EQ(line.report.waiting, 7);
+    EXPECT_FALSE(line.report.held);
+
+    const std::pair<Count, std::string_view> bad[] = {
+        {Count::BadLine, "hello proxy\r\n"},
+        {Count::BadKind, "greet proxy=1\r\n"},
+        {Count::OutOfPlace, "ack proxy=17 mark=1\r\n"},
+        {Count::BadField, "hello proxy=20 zone=b weight=1 fresh=1\r\n"},
+        {Count::BadField, "hello proxy=1 zone=b weight=-1 fresh=1\r\n"},
+        {Count::BadName, "hello proxy=1 zone=nowhere weight=1 fresh=1\r\n"},
+        {Count::Hellos, "hello proxy=17 zone=b weight=1 fresh=1 extra=9\r\n"},
+        {Count::OutOfPlace, "hello proxy=17 zone=b weight=1 fresh=1\r\n"},
+        {Count::OutOfPlace, "outcomes zone=b server=s-1 tries=1 failed=0 span_ms=1\r\n"},
+        {Count::BadName, "demand proxy=17 class=other tries=1 failed=0 span_ms=1\r\n"},
+        {Count::BadField, "demand proxy=17 class=order tries=1.5 failed=0 span_ms=1\r\n"},
+        {Count::BadField, "ack proxy=16 mark=1\r\n"},
+        {Count::BadField, "ack proxy=17 mark=65536\r\n"},
+        {Count::Acks, "ack proxy=17 mark=65535 took_ms=1\r\n"}};
+    for (const auto& [what, text] : bad) {
+        const auto before = counters.of(what);
+        EXPECT_TRUE(stream->feed(text));
+        EXPECT_EQ(counters.of(what), before + 1) << text;
+    }
+    const std::vector<std::string> wanted{"list 2 2", "usage 1 19", "joined 17 zone 1 fresh",
+                                          "applied 65535"};
+    EXPECT_EQ(planner.seen, wanted);
+    EXPECT_TRUE(proxyEnd.got.empty() && collectorEnd.got.empty()); // nothing is ever written to a collector
+}
+
+TEST_F(Desk, AListWithAnEntryThatCantBeUsedIsNotPassedOn) {
+    for (const std::string_view bad :
+         {R"([{"id":"s-1","phase":"Ready"}])", R"([{"phase":"Gone"}])",
+          R"([{"id":"x","host_port":"h","locality":"zz","phase":"Ready"}])",
+          R"([{"id":"x","host_port":"h","locality":"a","phase":"Ready","size":-1}])"})
+        EXPECT_FALSE(intake.list(ListNews::Whole, readJson(bad))) << bad;
+    EXPECT_TRUE(planner.seen.empty());
+    EXPECT_TRUE(intake.list(ListNews::Changes, readJson(R"([{"id":"s-9","phase":"Gone"}])")));
+}
+
+TEST_F(Desk, TheLateEndOfAnOldStreamIsNoLeaving) {
+    Reader older, newer;
+    const auto first = proxy(older), second = proxy(newer);
+    first->feed("ack proxy=17 mark=4 took_ms=1\r\n");
+    first->ended();
+    const std::vector<std::string> wanted{"joined 17 zone 1", "joined 17 zone 1"};
+    EXPECT_EQ(planner.seen, wanted);
+    EXPECT_EQ(counters.of(Count::Stale), 1U);
+    second->ended();
+    EXPECT_EQ(planner.seen.back(), "left 17");
+}
+
+TEST_F(Desk, ABindingBringsTheTableLevelsAndWhatIsToBeLetBack) {
+    listTwo();
+    Reader reader;
+    const auto stream = proxy(reader);
+    order([&] {
+        outbox.setLine(table, s1, 1.5);
+        outbox.setLine(table, s2, 0.25);
+        outbox.admit(table, 1, 1e6, FurtherTries::AfterProof);
+        outbox.admit(table, 2, 1e6, FurtherTries::AfterProof);
+        outbox.bind({17}, 0, table);
+        outbox.mark({905}, false);
+    });
+    EXPECT_EQ(reader.take(), "push replace=1 rows=s-1:1.5,s-2:0.25 part=1\r\n"
+                             "push gate=1000000 again=1 undrop=s-1,s-2 stamp=905\r\n");
+    EXPECT_EQ(counters.of(Count::OrderLines), 7U); // replace, two rows, a level, two let back, a mark
+    order([&] {
+        outbox.setLine(table, s2, 0);
+        outbox.withdraw(s2, true); // no line of its table names it any more
+        outbox.admit(table, 2, 0.5, FurtherTries::None);
+        outbox.mark({906}, false);
+    });
+    EXPECT_EQ(reader.take(), "push rows=s-2:0 part=1\r\npush for=order gate=0.5 again=0 stamp=906\r\n");
+    order([] {});
+    EXPECT_EQ(reader.take(), "");
+}
+
+TEST_F(Desk, OldTablesAreToldOfWithdrawalsAndANewStreamForgetsWhatWasTold) {
+    listTwo();
+    Reader reader, newer;
+    const auto stream = proxy(reader);
+    order([&] { outbox.withdraw(s2, true), outbox.mark({1}, false); });
+    EXPECT_EQ(reader.take(), "push drop=s-2 stamp=1\r\n");
+    order([&] { outbox.withdraw(s2, true), outbox.mark({2}, false); });
+    EXPECT_EQ(reader.take(), "");
+    const auto next = proxy(newer);
+    order([&] {
+        outbox.setLine(table, s2, 1);
+        outbox.bind({17}, 3, table);
+    });
+    EXPECT_EQ(newer.take(), "push replace=1 rows=s-2:1 drop=s-2\r\n"); // withdrawn by our order still
+    order([&] { outbox.withdraw(s2, false), outbox.mark({4}, true); });
+    EXPECT_EQ(newer.take(), "push undrop=s-2 stamp=4\r\n");
+    EXPECT_EQ(reader.take(), "");
+}
+
+TEST_F(Desk, ASlowReaderGetsItsTableAnewOnceItHasCaughtUp) {
+    listTwo();
+    Reader reader;
+    const auto stream = proxy(reader);
+    order([&] { outbox.setLine(table, s1, 1), outbox.bind({17}, 0, table); });
+    reader.take();
+    reader.slow = true;
+    order([&] { outbox.setLine(table, s2, 1), outbox.mark({7}, false); });
+    order([&] { outbox.setLine(table, s1, 0.5), outbox.mark({8}, false); });
+    reader.slow = false;
+    order([] {});
+    EXPECT_EQ(reader.take(), "push replace=1 rows=s-1:0.5,s-2:1 undrop=s-1,s-2 stamp=8\r\n");
+    EXPECT_EQ(counters.of(Count::Resyncs), 1U);
+}
+
+TEST_F(Desk, LongTablesAreCutIntoPartsAndCountedOnce) {
+    std::string all = "[";
+    for (int k = 0; k < 12'000; ++k)
+        all += std::string(k ? "," : "") + R"({"id":"server-with-a-long-name-to-fill-lines-)" +
+               std::to_string(k) + R"(","host_port":"h:1","locality":"a","phase":"Ready"})";
+    ASSERT_TRUE(intake.list(ListNews::Whole, readJson(all + "]")));
+    Reader reader;
+    const auto stream = proxy(reader);
+    order([&] {
+        for (const auto& one : planner.listed) outbox.setLine(table, one.id, 1);
+        outbox.bind({17}, 1, table);
+        outbox.mark({1}, false);
+    });
+    EXPECT_EQ(counters.of(Count::Parts), 2U);
+    EXPECT_EQ(counters.of(Count::Messages), 1U);
+    EXPECT_EQ(counters.of(Count::OrderLines), 24'002U);
+    EXPECT_EQ(reader.got.find("push for=lookup replace=1 rows="), 0U);
+    EXPECT_EQ(reader.got.rfind("replace=1"), reader.got.find("replace=1"));
+}
+
+RC_GTEST_FIXTURE_PROP(Desk, AnythingAtAllMayComeAndIsTakenInPieces, ()) {
+    const auto words =
+        *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(std::vector<std::string>{
+            "hello",    "ack",         "demand",     "agent",    "outcomes", "probe",
+            " proxy=1", " zone=a",     " weight=1",  " fresh=1", " mark=2",  " class=order",
+            " tries=3", " failed=9",   " span_ms=5", "\r\n",     "\n",       " ",
+            "=",        " load=:,x:1", "\xff"}));
+    std::string text;
+    for (const auto& word : words) text += word;
+    Reader reader;
+    const auto peer = session(reader);
+    inPieces(text, [&](std::string_view piece) { RC_ASSERT(peer->feed(piece)); });
+    peer->ended();
+}
+
+struct Watch : testing::Test {
+    Counters counters;
+    std::vector<std::pair<ListNews, std::size_t>> told;
+    bool usable = true;
+    DiscoveryWatch watch{"h:1",
+                         [this](ListNews news, const Json& members) {
+                             told.emplace_back(news, members.items.size());
+                             return usable;
+                         },
+                         counters};
+    static std::string answer(std::string_view body, std::string_view status = "200 OK") {
+        return "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + std::string(body);
+    }
+};
+constexpr std::string_view kWhole = R"({"revision":41,"complete":true,"members":[{"id":"s-1"}]})";
+constexpr std::string_view kWatchCall = "GET /api/targets?index=41&wait=10000 HTTP/1.1\r\nHost: h:1\r\n\r\n";
+
+TEST_F(Watch, AsksForTheWholeListThenForWhatIsNewer) {
+    EXPECT_EQ(watch.connected(), "GET /api/targets HTTP/1.1\r\nHost: h:1\r\n\r\n");
+    const std::string whole = answer(kWhole);
+    EXPECT_EQ(watch.feed(whole.substr(0, 30)), "");
+    EXPECT_EQ(watch.feed(whole.substr(30)), kWatchCall);
+    EXPECT_EQ(watch.feed(answer(R"({"revision":41,"complete":false,"members":[]})")), kWatchCall);
+    EXPECT_NE(watch.feed(answer(R"({"revision":43,"complete":false,"members":[{},{}]})")).find("index=43"),
+              std::string::npos);
+    const std::vector<std::pair<ListNews, std::size_t>> wanted{{ListNews::Whole, 1}, {ListNews::Changes, 2}};
+    EXPECT_EQ(told, wanted);
+    watch.lost(); // what it knows is asked on from there
+    EXPECT_NE(watch.connected().find("index=43"), std::string::npos);
+}
+
+TEST_F(Watch, WhatCantBeUsedLeavesTheOldListAndTheWholeOneIsAskedForAnew) {
+    for (const std::string& bad :
+         {answer("{"), answer("[]"), answer(kWhole, "503 No"), answer(R"({"revision":1,"complete":true})"),
+          answer(kWhole) + "more", std::string("SSH-2.0\r\n")}) {
+        EXPECT_NE(watch.connected(), kWatchCall);
+        EXPECT_EQ(watch.feed(bad), "");
+        EXPECT_FALSE(watch.usable());
+    }
+    EXPECT_EQ(counters.of(Count::ListsWhole), 0U);
+    watch.connected();
+    watch.feed(answer(kWhole));
+    usable = false;
+    EXPECT_EQ(watch.feed(answer(R"({"revision":43,"complete":false,"members":[{}]})")), "");
+    EXPECT_NE(watch.connected(), kWatchCall);
+}
+
+struct Probing : Desk {
+    boost::asio::ip::tcp::acceptor server{io, {boost::asio::ip::address_v4::loopback(), 0}};
+    Prober prober{io, names, intake, counters, pool, 250ms, true};
+
+    /// The result of a probe that the stand-in answers with `text`, or closes on where there is none.
+    ProbeResult probe(std::string text) {
+        const ServerId id = names.listed("s-1");
+        names.moved(id, "127.0.0.1:" + std::to_string(server.local_endpoint().port()));
+        boost::asio::ip::tcp::socket peer(io);
+        boost::asio::streambuf asked;
+        server.async_accept(peer, [&](boost::system::error_code) {
+            boost::asio::async_read_until(
+                peer, asked, "\r\n\r\n", [&](boost::system::error_code, std::size_t) {
+                    if (text != "silent") boost::asio::write(peer, boost::asio::buffer(text)), peer.close();
+                });
+        });
+        prober.probe(id);
+        settle();
+        return planner.results.back();
+    }
+};
+
+TEST_F(Probing, EachKindOfAnswerHasItsResult) {
+    const auto good =
+        probe("HTTP/1.1 200 OK\r\nContent-Length: 33\r\n\r\nTEXT inflight=7, queue=2, util=.5\n");
+    EXPECT_EQ(good.status, ProbeStatus::Answered);
+    EXPECT_EQ(good.report.held, 7);
+    EXPECT_EQ(good.report.waiting, 2);
+    EXPECT_EQ(good.report.busyShare, 0.5);
+    EXPECT_EQ(probe("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n").status, ProbeStatus::Error);
+    EXPECT_EQ(probe("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nTEXT").status, ProbeStatus::Broken);
+    EXPECT_EQ(probe("").status, ProbeStatus::Broken);
+    EXPECT_EQ(probe("silent").status, ProbeStatus::TimedOut);
+    server.close();
+    prober.probe(names.listed("s-1"));
+    settle();
+    EXPECT_EQ(planner.results.back().status, ProbeStatus::Unreachable);
+}
+
+} // namespace
+} // namespace zincstack::net
