Probe results never come inside a decision; strangers give way in numbers; calls are paced

Found on reading: a probe whose address can't be read came back inside decide() (prober.cpp run), one stranger in 50 ms gave way where hundreds hold all places (listener.cpp makeRoom), and a discovery that answers every watch at once would have been asked without a pause (discovery_driver.cpp).

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -10,6 +9,8 @@
 #include <cstring>
 #include <utility>
 
+#include "net/fatal.h"
+
 namespace zincstack::net {
 
 namespace {
@@ -89,7 +90,7 @@
     }
     if (!std::exchange(writing_, true))
         asio::co_spawn(
-            socket_.get_executor(), [self = shared_from_this()] { return self->write(); }, asio::detached);
+            socket_.get_executor(), [self = shared_from_this()] { return self->write(); }, rethrow);
     return true;
 }
 
--- a/src/net/discovery_driver.cpp
+++ b/src/net/discovery_driver.cpp
@@ -19,6 +19,7 @@
 
 constexpr Micros kConnectMost = 1s;
 constexpr Micros kPaceLeast = 50ms, kPaceMost = 1s; // between tries that bring nothing
+constexpr Micros kCallGap = 20ms;                   // from a call to the next, where answers come at once
 
 } // namespace
 
@@ -32,38 +33,40 @@
     Micros pace = kPaceLeast;
     bool answered = true;
     for (;;) {
-        const bool before = std::exchange(answered, co_await converse());
-        if (before != answered)
-            spdlog::info("discovery: {}", answered ? "answers again" : "no answer, the old list holds");
-        if (answered) {
-            pace = kPaceLeast;
-            continue; // what it last said is followed by the next call at once
-        }
-        boost::system::error_code ignored;
-        timer_.expires_after(pace);
-        co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        pace = std::min(2 * pace, kPaceMost);
+        const auto before = watch_.answers();
+        co_await converse();
+        const bool came = watch_.answers() != before;
+        if (std::exchange(answered, came) != came)
+            spdlog::info("discovery: {}", came ? "answers again" : "no answer, the old list holds");
+        if (!came) co_await pauseUntil(Steady::now() + pace);
+        pace = came ? kPaceLeast : std::min(2 * pace, kPaceMost);
     }
 }
 
-/// One connection, for as long as it is of use. True if it brought a list.
-asio::awaitable<bool> DiscoveryDriver::converse() {
+/// One connection, for as long as it is of use.
+asio::awaitable<void> DiscoveryDriver::converse() {
     asio::ip::tcp::socket socket(io_);
-    if (co_await connectTo(socket, at_, kConnectMost)) co_return false;
     const auto block = pool_.take();
-    if (!block) co_return false;
-    bool answered = false;
+    if (!block || co_await connectTo(socket, at_, kConnectMost)) co_return;
     std::string request = watch_.connected();
     while (watch_.usable()) {
-        if (!request.empty() && co_await writeAll(socket, request)) break;
+        if (!request.empty()) {
+            co_await pauseUntil(calledAt_ + kCallGap);
+            calledAt_ = Steady::now();
+            if (co_await writeAll(socket, request)) break;
+        }
         boost::system::error_code error;
         const std::size_t got = co_await readPiece(socket, block, watch_.patience(), error);
         if (error) break;
         request = watch_.feed({block.data(), got});
-        answered |= !request.empty();
     }
     if (watch_.usable()) watch_.lost();
-    co_return answered;
+}
+
+asio::awaitable<void> DiscoveryDriver::pauseUntil(Steady::time_point when) {
+    boost::system::error_code ignored;
+    timer_.expires_at(when);
+    co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 } // namespace zincstack::net
--- a/src/net/discovery_driver.h
+++ b/src/net/discovery_driver.h
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
+
 #include "net/buffer_pool.h"
 #include "net/discovery_watch.h"
 
@@ -18,14 +20,17 @@
     void start();
 
 private:
+    using Steady = std::chrono::steady_clock;
     boost::asio::awaitable<void> follow();
-    boost::asio::awaitable<bool> converse();
+    boost::asio::awaitable<void> converse();
+    boost::asio::awaitable<void> pauseUntil(Steady::time_point when);
 
     boost::asio::io_context& io_;
     const boost::asio::ip::tcp::endpoint at_;
     DiscoveryWatch& watch_;
     BufferPool& pool_;
     boost::asio::steady_timer timer_;
+    Steady::time_point calledAt_{};
 };
 
 } // namespace zincstack::net
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -86,6 +86,7 @@
             return false;
         counters_.add(whole ? Count::ListsWhole : Count::ListsChanged);
         revision_ = *revision;
+        ++answers_;
         return true;
     } catch (const Malformed& error) {
         counters_.passedOver(Count::ListsFailed, error.what());
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -2,6 +2,7 @@
 // A state machine fed bytes; it knows no socket.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     /// The connection has ended or fallen silent.
     void lost();
     bool usable() const { return state_ != State::Apart; }
+    /// How many answers could be used so far.
+    std::uint64_t answers() const { return answers_; }
     /// How long an answer may take before silence means that the connection is dead.
     Micros patience() const;
 
@@ -52,6 +55,7 @@
     State state_ = State::Apart;
     HttpResponse response_;
     std::optional<std::string> revision_;
+    std::uint64_t answers_ = 0;
 };
 
 } // namespace zincstack::net
--- a/src/net/http_response.cpp
+++ b/src/net/http_response.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kHeadBytesMost = 64 * 1024;
-constexpr std::size_t kBodyBytesMost = 16 * 1024 * 1024;
+constexpr std::size_t kBodyBytesMost = 4 * 1024 * 1024;
 
 bool sameWord(std::string_view one, std::string_view other) {
     return std::ranges::equal(
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -17,7 +17,8 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
-constexpr auto kPause = 50ms; // before another try where nothing more can be taken
+constexpr auto kPause = 50ms;            // before another try where nothing more can be taken
+constexpr std::size_t kEvictedPart = 16; // of all peers, one in so many gives way at once
 
 } // namespace
 
@@ -40,16 +41,18 @@
     if (!peer.push("alive\r\n")) counters_.passedOver(Count::NoRoom, "no room for an answer");
 }
 
-/// Guards against strangers that hold all descriptors: the oldest peer that is no use gives way.
+/// Guards against strangers that hold all descriptors: the oldest peers that are of no use give way.
 bool Listener::makeRoom() {
-    const auto oldest = std::ranges::find_if(peers_, [&](const auto& peer) {
+    const std::size_t most = peersMost_ / kEvictedPart + 1;
+    std::size_t evicted = 0;
+    for (const auto& peer : peers_) {
         const auto& session = peer->session();
-        return session.stranger() || (session.proxy() && !outbox_.owns(*session.proxy(), *peer));
-    });
-    if (oldest == peers_.end()) return false;
-    counters_.passedOver(Count::EvictedStranger, "room was needed");
-    (*oldest)->close();
-    return true;
+        if (!session.stranger() && (!session.proxy() || outbox_.owns(*session.proxy(), *peer))) continue;
+        counters_.passedOver(Count::EvictedStranger, "room was needed");
+        peer->close();
+        if (++evicted == most) break;
+    }
+    return evicted > 0;
 }
 
 asio::awaitable<void> Listener::accept() {
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -1,7 +1,7 @@
 #include "net/prober.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <spdlog/spdlog.h>
+#include <boost/asio/post.hpp>
 
 #include <chrono>
 #include <utility>
@@ -34,7 +34,9 @@
 
 void Prober::probe(ServerId server) { asio::co_spawn(io_, run(server), rethrow); }
 
+/// Starts in a turn of its own: the order comes from inside a decision, and no result may come back there.
 asio::awaitable<void> Prober::run(ServerId server) {
+    co_await asio::post(io_, asio::use_awaitable);
     if (running_ >= kAtOnceMost) {
         intake_.probed(server, ProbeStatus::Rejected, 0s, {});
         co_return;
@@ -66,7 +68,6 @@
         if (error) response.ended();
     }
     if (response.broken()) co_return Found{ProbeStatus::Broken, {}};
-    spdlog::debug("probe {} {} {}", response.status(), response.neverRan(), response.body());
     if (response.status() == 200) co_return Found{ProbeStatus::Answered, response.body()};
     co_return Found{response.neverRan() ? ProbeStatus::Rejected : ProbeStatus::Error, {}};
 }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 
 #include "net/discovery_watch.h"
+#include "net/listener.h"
 #include "net/peer_session.h"
 #include "net/prober.h"
 #include "net/station.h"
@@ -19,6 +20,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using namespace std::string_view_literals;
 
 /// Feeds `text` in pieces of any sizes.
 void inPieces(std::string_view text, const auto& feed) {
@@ -482,5 +484,27 @@
     EXPECT_EQ(planner.results.back().status, ProbeStatus::Unreachable);
 }
 
+TEST_F(Probing, AResultNeverComesInsideTheDecisionThatAskedForIt) {
+    const ServerId nowhere = names.listed("s-9"); // its address can't be read, so the result is known at once
+    order([&] {
+        prober.probe(nowhere);
+        EXPECT_TRUE(planner.results.empty());
+    });
+    ASSERT_EQ(planner.results.size(), 1U);
+    EXPECT_EQ(planner.results[0].status, ProbeStatus::Unreachable);
+}
+
+TEST_F(Desk, StrangersThatHoldAllPlacesGiveWayToAProxy) {
+    using boost::asio::ip::tcp;
+    Listener listener(io, {boost::asio::ip::address_v4::loopback(), 0}, 3, intake, outbox, counters, pool);
+    listener.start();
+    std::vector<tcp::socket> peers;
+    for (int k = 0; k < 6; ++k) peers.emplace_back(io).connect(listener.address());
+    boost::asio::write(peers.back(), boost::asio::buffer("hello proxy=17 zone=b weight=1 fresh=1\r\n"sv));
+    while (planner.seen.empty() && io.run_one_for(10s)) {}
+    EXPECT_EQ(planner.seen, std::vector<std::string>{"joined 17 zone 1 fresh"});
+    EXPECT_GE(counters.of(Count::EvictedStranger), 3U);
+}
+
 } // namespace
 } // namespace zincstack::net
