A batch closes once nothing has come for 10 ms, so no report is judged in two halves

Checked with timed arrival of lines: no gap above 1 ms inside a report, so it is not the network but engine.cpp, which closed a batch 5 ms after it was opened, by a beat or an answer that came just before. Now a batch waits for 10 ms without input, 40 ms at most.

--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -10,30 +10,43 @@
 
 using namespace std::chrono_literals;
 
+constexpr int kQuietTicks = 2;  // a batch closes once nothing has come for so many ticks
+constexpr int kMostTicks = 8;   // or is so many ticks old
 constexpr int kHopsMost = 200;  // turns of the loop in which more may come in before a batch is decided
 constexpr Micros kLate = 100ms; // a batch that took longer to gather tells of a stall
 
 } // namespace
 
-Engine::Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters,
-               Micros gather)
-    : io_(io), planner_(planner), outbox_(outbox), counters_(counters), gather_(gather), gathered_(io),
-      wake_(io) {}
+Engine::Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters, Micros tick)
+    : io_(io), planner_(planner), outbox_(outbox), counters_(counters), quiet_(kQuietTicks * tick),
+      most_(kMostTicks * tick), gathered_(io), wake_(io) {}
 
 Planner& Engine::input() {
     ++inputs_;
+    lastAt_ = clock_.now();
     if (!open_) {
         open_ = true;
-        openedAt_ = clock_.now();
+        openedAt_ = lastAt_;
         planner_.begin(openedAt_);
-        gathered_.expires_after(gather_);
-        gathered_.async_wait([this](const boost::system::error_code& error) {
-            if (!error) settle(kHopsMost);
-        });
+        gather();
     }
     return planner_;
 }
 
+/// Waits until nothing has come for a while. Guards against a batch that closes in the middle of a report:
+/// its second half would be judged alone, and every report after it a period late.
+void Engine::gather() {
+    gathered_.expires_after(std::min(lastAt_ + quiet_, openedAt_ + most_) - clock_.now());
+    gathered_.async_wait([this](const boost::system::error_code& error) {
+        if (error) return;
+        const Micros now = clock_.now();
+        if (now < lastAt_ + quiet_ && now < openedAt_ + most_)
+            gather();
+        else
+            settle(kHopsMost);
+    });
+}
+
 /// After a stall much is waiting: as long as each turn of the loop brings something, it is taken in first.
 void Engine::settle(int hops) {
     if (inputs_ != settled_ && hops > 0) {
@@ -44,7 +57,7 @@
     open_ = false;
     const Micros now = clock_.now(); // the batch is decided as of now, however long it took to gather
     counters_.add(Count::Batches);
-    if (now - openedAt_ > gather_ + kLate) counters_.add(Count::LateBatches);
+    if (now - openedAt_ > most_ + kLate) counters_.add(Count::LateBatches);
     planner_.begin(now);
     planner_.decide();
     outbox_.flush();
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -28,24 +28,25 @@
 
 class Engine {
 public:
-    Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters, Micros gather);
+    Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters, Micros tick);
 
-    /// The planner, in a batch that is open from now on and is soon decided.
+    /// The planner, in a batch that is open from now on and is decided once nothing more comes.
     Planner& input();
     void wakeAfter(Micros span);
 
 private:
+    void gather();
     void settle(int hops);
 
     boost::asio::io_context& io_;
     Planner& planner_;
     Outbox& outbox_;
     Counters& counters_;
-    const Micros gather_;
+    const Micros quiet_, most_;
     const Clock clock_;
     boost::asio::steady_timer gathered_, wake_;
     bool open_ = false;
-    Micros openedAt_{};
+    Micros openedAt_{}, lastAt_{};
     std::uint64_t inputs_ = 0, settled_ = 0;
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -161,6 +161,7 @@
     std::vector<ListedServer> listed;
     std::vector<ServerSums> summed;
     std::vector<ProbeResult> results;
+    int decided = 0;
     void note(std::string text) { seen.push_back(std::move(text)); }
     void begin(Micros) override {}
     void list(ListNews news, std::span<const ListedServer> entries) override {
@@ -180,6 +181,7 @@
     void probed(const ProbeResult& result) override { results.push_back(result); }
     void woken() override {}
     void decide() override {
+        ++decided;
         if (orders) std::exchange(orders, {})();
     }
 };
@@ -397,6 +399,22 @@
     peer->ended();
 }
 
+/// A report whose lines came while a batch was about to close was judged in two halves, and all that
+/// followed a period late.
+TEST_F(Desk, ABatchClosesOnceNothingMoreComesNotInTheMiddleOfAReport) {
+    Engine slow(io, planner, outbox, counters, 200ms);
+    slow.input();
+    boost::asio::steady_timer second(io, 300ms);
+    second.async_wait([&](boost::system::error_code) {
+        EXPECT_EQ(planner.decided, 0);
+        slow.input();
+    });
+    boost::asio::steady_timer early(io, 500ms); // past what a batch of one input takes
+    early.async_wait([&](boost::system::error_code) { EXPECT_EQ(planner.decided, 0); });
+    settle();
+    EXPECT_EQ(planner.decided, 1);
+}
+
 struct Watch : testing::Test {
     Counters counters;
     std::vector<std::pair<ListNews, std::size_t>> told;
