--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <utility>
 
+#include "terms/start_terms.h"
+
 namespace zincstack::net {
 
 Intake::Intake(Engine& engine, Outbox& outbox, Names& names, Counters& counters, std::uint32_t proxies)
@@ -157,10 +159,7 @@
         const auto name = pair.substr(0, mark);
         const auto value = parseNumber(pair.substr(mark + 1));
         if (!value) return counters_.passedOver(Count::BadField, "load");
-        if (name == "util") out.busyShare = value;
-        if (name == "queue") out.waiting = value;
-        if (name == "inflight") out.held = value;
-        if (name == "latency_ms") out.serviceMillis = value;
+        terms::placeLoad(name, *value, out);
     });
     return out;
 }
--- a/src/simwire/host.cpp
+++ b/src/simwire/host.cpp
@@ -312,12 +312,7 @@
     const auto count = in.whole<std::uint8_t>("Report");
     for (std::uint8_t k = 0; k < count; ++k) {
         const double value = in.shortNumber("Report");
-        if (k >= at.reportColumns.size()) continue;
-        const auto& column = at.reportColumns[k];
-        if (column == "busy") out.busyShare = value;
-        if (column == "q") out.waiting = value;
-        if (column == "rif") out.held = value;
-        if (column == "lat_ms") out.serviceMillis = value;
+        if (k < at.reportColumns.size()) terms::placeLoad(at.reportColumns[k], value, out);
     }
     return out;
 }
--- a/src/terms/start_terms.cpp
+++ b/src/terms/start_terms.cpp
@@ -155,4 +155,18 @@
     return out;
 }
 
+void placeLoad(std::string_view name, double value, LoadReport& into) {
+    static constexpr std::pair<std::string_view, std::optional<double> LoadReport::*> kPlaces[] = {
+        {"busy", &LoadReport::busyShare},
+        {"util", &LoadReport::busyShare},
+        {"q", &LoadReport::waiting},
+        {"queue", &LoadReport::waiting},
+        {"rif", &LoadReport::held},
+        {"inflight", &LoadReport::held},
+        {"lat_ms", &LoadReport::serviceMillis},
+        {"latency_ms", &LoadReport::serviceMillis}};
+    for (const auto& [known, place] : kPlaces)
+        if (known == name) into.*place = value;
+}
+
 } // namespace zincstack::terms
--- a/src/terms/start_terms.h
+++ b/src/terms/start_terms.h
@@ -34,4 +34,7 @@
 /// Throws Malformed, naming the term, where one is missing or no number.
 StartTerms readStartTerms(const FlatTerms& flat);
 
+/// Puts a value of a load report where it belongs, by its name on either wire; other names are let pass.
+void placeLoad(std::string_view name, double value, LoadReport& into);
+
 } // namespace zincstack::terms
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -282,6 +282,24 @@
     EXPECT_TRUE(proxyEnd.got.empty() && collectorEnd.got.empty()); // nothing is ever written to a collector
 }
 
+/// The sockets bring the names of the start terms, not those of the protocol's examples: both are known.
+TEST_F(Desk, LoadReportsAreReadByTheNamesOfEitherPage) {
+    listTwo();
+    Reader reader;
+    const auto collector = session(reader);
+    collector->feed("agent zone=a\r\n");
+    for (const std::string_view load :
+         {"busy:0.5,q:2,rif:3,lat_ms:4", "util:0.5,queue:2,inflight:3,latency_ms:4"}) {
+        collector->feed("outcomes zone=a server=s-1 tries=1 failed=0 span_ms=1 load=" + std::string(load) +
+                        "\r\n");
+        const LoadReport& report = planner.summed.back().report;
+        EXPECT_EQ(report.busyShare, 0.5);
+        EXPECT_EQ(report.waiting, 2);
+        EXPECT_EQ(report.held, 3);
+        EXPECT_EQ(report.serviceMillis, 4);
+    }
+}
+
 TEST_F(Desk, AListWithAnEntryThatCantBeUsedIsNotPassedOn) {
     for (const std::string_view bad :
          {R"([{"id":"s-1","phase":"Ready"}])", R"([{"phase":"Gone"}])",
