--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 Connection::Connection(asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& pool,
-                       const Alive& alive)
-    : socket_(std::move(socket)), counters_(counters), pool_(pool),
+                       const BufferPool::Lease& readInto, const Alive& alive)
+    : socket_(std::move(socket)), counters_(counters), pool_(pool), readInto_(readInto),
       session_(intake, counters, pool, *this, [this, alive] { alive(*this); }) {}
 
 void Connection::start(std::function<void()> over) {
@@ -44,7 +44,7 @@
     socket_.close(ignored);
 }
 
-/// A buffer is held only while bytes are there, so that silent peers cost none.
+/// Guards against peers that hold all of the pool: reading needs no block of its own, so no stream is lost.
 asio::awaitable<void> Connection::read() {
     error_code error;
     socket_.set_option(asio::ip::tcp::no_delay(true), error);
@@ -53,15 +53,10 @@
         co_await socket_.async_wait(asio::socket_base::wait_read,
                                     asio::redirect_error(asio::use_awaitable, error));
         if (error) co_return;
-        const auto block = pool_.take();
-        if (!block) {
-            counters_.passedOver(Count::NoRoom, "no buffer is left to read into");
-            co_return;
-        }
         for (int turn = 0; turn < kReadsATurn; ++turn) {
-            const std::size_t got = socket_.read_some(asio::buffer(block.data(), kBlockBytes), error);
+            const std::size_t got = socket_.read_some(asio::buffer(readInto_.data(), kBlockBytes), error);
             if (error == asio::error::would_block || error == asio::error::try_again) break;
-            if (error || !session_.feed({block.data(), got})) co_return;
+            if (error || !session_.feed({readInto_.data(), got})) co_return;
             if (got < kBlockBytes) break;
         }
     }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -22,8 +22,9 @@
 public:
     using Alive = std::function<void(Connection&)>;
 
+    /// `readInto` is one for all: what is read is fed on at once.
     Connection(boost::asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& pool,
-               const Alive& alive);
+               const BufferPool::Lease& readInto, const Alive& alive);
 
     /// Serves the peer until its end; `over` is called then.
     void start(std::function<void()> over);
@@ -40,6 +41,7 @@
     boost::asio::ip::tcp::socket socket_;
     Counters& counters_;
     BufferPool& pool_;
+    const BufferPool::Lease& readInto_;
     PeerSession session_;
     std::deque<BufferPool::Lease> queue_;
     std::size_t head_ = 0, queued_ = 0; // written of the first block; bytes not yet written
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -56,6 +56,7 @@
     }
     open_ = false;
     const Micros now = clock_.now(); // the batch is decided as of now, however long it took to gather
+    counters_.holds(now >= openedAt_);
     counters_.add(Count::Batches);
     if (now - openedAt_ > most_ + kLate) counters_.add(Count::LateBatches);
     planner_.begin(now);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <utility>
@@ -74,7 +73,7 @@
         counters_.add(Count::Accepted);
         const auto at = peers_.insert(
             peers_.end(), std::make_shared<Connection>(std::move(socket), intake_, counters_, pool_,
-                                                       [this](Connection& peer) { alive(peer); }));
+                                                       readInto_, [this](Connection& peer) { alive(peer); }));
         (*at)->start([this, at] { peers_.erase(at); });
     }
 }
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -37,6 +37,7 @@
     const Outbox& outbox_;
     Counters& counters_;
     BufferPool& pool_;
+    const BufferPool::Lease readInto_ = pool_.take();
     std::list<std::shared_ptr<Connection>> peers_; // oldest first
     std::vector<std::weak_ptr<Connection>> asking_;
     bool serving_ = false;
--- a/src/net/outbox.cpp
+++ b/src/net/outbox.cpp
@@ -41,6 +41,7 @@
 
 void Outbox::bind(ProxyId proxy, ProductSet products, TableId table) {
     const auto found = held_.find(proxy);
+    counters_.holds(found != held_.end()); // only joined proxies are bound
     if (found == held_.end()) return;
     tables_[table].products = products ? products : every();
     found->second.tables.insert(table);
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -1,7 +1,7 @@
 // The planner's interface: what callers tell it, what it orders, and nothing about how it decides.
 //
-// A caller (the simulator's adapter today, a daemon's front later) makes one planner an instance, hands it
-// inputs with the clock, and closes each batch with decide(). Orders go to the OrderSink given at the start,
+// A caller (the simulator's adapter, or the engine on sockets) makes one planner an instance, hands it inputs
+// with the clock, and closes each batch with decide(). Orders go to the OrderSink given at the start,
 // only from inside decide(). All names that belong to a wire stay with the caller.
 #pragma once
 
@@ -145,7 +145,7 @@
 class Planner {
 public:
     virtual ~Planner() = default;
-    /// Opens a batch; the clock only moves forward.
+    /// Opens a batch, or moves the clock of the open one on; it only moves forward.
     virtual void begin(Micros now) = 0;
     virtual void list(ListNews news, std::span<const ListedServer> entries) = 0;
     /// `onlyStanding`: it holds nothing but the short table that it started with.
--- a/src/simwire/host.cpp
+++ b/src/simwire/host.cpp
@@ -270,8 +270,8 @@
     const auto size = in.whole<std::uint32_t>("Env");
     const auto bytes = in.bytes("Env", size);
     in.done();
-    const auto start = terms::readStartTerms(
-        terms::splitText({reinterpret_cast<const char*>(bytes.data()), bytes.size()}));
+    const auto start =
+        terms::readStartTerms(terms::splitText({reinterpret_cast<const char*>(bytes.data()), bytes.size()}));
     for (const auto& line : start.notices) notice_(line);
     auto fresh = std::make_unique<Hosted>(reply_, who);
     fresh->reportColumns = start.reportColumns;
