--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -13,8 +13,8 @@
     : engine_(engine), outbox_(outbox), names_(names), counters_(counters), proxies_(proxies) {}
 
 std::optional<ProxyId> Intake::proxyOf(const Message& message) const {
-    const auto proxy = message.count("proxy", proxies_ - 1);
-    if (!proxy) return {};
+    const auto proxy = message.count("proxy", 65535);
+    if (!proxy || *proxy >= proxies_) return {};
     return ProxyId{static_cast<std::uint16_t>(*proxy)};
 }
 
--- a/src/net/push_writer.cpp
+++ b/src/net/push_writer.cpp
@@ -67,8 +67,8 @@
         for (const auto& [product, level] : table.levels) {
             const auto bit = static_cast<ProductSet>(1U << product.value);
             bool found = false;
-            for (auto& [same, products_] : alike)
-                if (same == level) products_ = static_cast<ProductSet>(products_ | bit), found = true;
+            for (auto& [same, of] : alike)
+                if (same == level) of = static_cast<ProductSet>(of | bit), found = true;
             if (!found) alike.emplace_back(level, bit);
         }
         for (const auto& [level, of] : alike) {
