--- a/src/net/json.h
+++ b/src/net/json.h
@@ -1,4 +1,4 @@
-// A JSON reader of the project's own: text to a tree of values, with bounds on depth. Numbers keep their text.
+// A JSON reader of our own: text to a tree of values, with a bound on depth. Numbers keep their text.
 #pragma once
 
 #include <string>
