--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -90,6 +90,11 @@
             if (std::string_view(line).find(words) != std::string_view::npos) return line;
         return {};
     }
+    std::uint16_t startAnywhere() {
+        start("127.0.0.1:0");
+        const std::string line = logLine("listens on");
+        return static_cast<std::uint16_t>(std::stoi(line.substr(line.find("127.0.0.1:") + 10)));
+    }
     int exitCode() {
         int status = -1;
         waitpid(std::exchange(pid, 0), &status, 0);
@@ -109,9 +114,7 @@
 };
 
 TEST_F(Daemon, ServesProxiesFollowsTheListAndEndsCleanly) {
-    start("127.0.0.1:0");
-    const std::string line = logLine("listens on");
-    const auto port = static_cast<std::uint16_t>(std::stoi(line.substr(line.find("127.0.0.1:") + 10)));
+    const std::uint16_t port = startAnywhere();
     Peer stranger = dial(port), first = dial(port);
     first.write("probe\r\n");
     EXPECT_EQ(first.until("\r\n"), "alive\r\n"); // discovery says nothing yet: the list as last had must do
@@ -151,6 +154,22 @@
     EXPECT_EQ(exitCode(), 0);
 }
 
+TEST_F(Daemon, StartsOverUnderItsAddressAfterAKill) {
+    const std::uint16_t port = startAnywhere();
+    Peer before = dial(port);
+    before.write("hello proxy=2 zone=a weight=9 fresh=1\r\n");
+    before.lineWith("stamp=1");
+    kill(pid, SIGKILL);
+    EXPECT_EQ(exitCode(), -1);
+    std::fclose(std::exchange(log, nullptr));
+    start("127.0.0.1:" + std::to_string(port));
+    EXPECT_FALSE(logLine("listens on").empty());
+    Peer after = dial(port); // it holds the table of the life before, and perhaps its withdrawals
+    after.write("hello proxy=2 zone=a weight=9 fresh=0\r\n");
+    EXPECT_EQ(after.until("\r\n"), "push replace=1 rows=s-0:1 part=1\r\n");
+    EXPECT_NE(after.until("\r\n").find("undrop=s-0"), std::string::npos);
+}
+
 TEST_F(Daemon, AnUnusableStartIsToldInOneLine) {
     start("127.0.0.1:0", "discovered");
     EXPECT_NE(logLine("field discovery is missing").find("critical"), std::string::npos);
