--- a/src/main.cpp
+++ b/src/main.cpp
@@ -93,16 +93,16 @@
     spdlog::info("{} listens on {}:{}, {} products, {} zones, {} proxies", station.name,
                  at.address().to_string(), at.port(), start.products.size(), start.zoneNames.size(),
                  start.forwarders.count);
+    int code = 0;
     try {
         io.run();
     } catch (const std::exception& error) {
         spdlog::critical("ended by a failure: {}", error.what());
-        spdlog::info("counters: {}", counters.text());
-        return 1;
+        code = 1;
     }
     spdlog::info("counters: {}", counters.text());
-    spdlog::info("ended on a signal");
-    return 0;
+    if (code == 0) spdlog::info("ended on a signal");
+    return code;
 }
 
 } // namespace
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -9,6 +9,12 @@
 
 namespace zincstack::net {
 
+namespace {
+
+constexpr std::uint32_t kTxnsMost = 0xffffffffU; // in one line of a report
+
+} // namespace
+
 Intake::Intake(Engine& engine, Outbox& outbox, Names& names, Counters& counters, std::uint32_t proxies)
     : engine_(engine), outbox_(outbox), names_(names), counters_(counters), proxies_(proxies) {}
 
@@ -61,9 +67,8 @@
 }
 
 void Intake::outcomes(const Message& message) {
-    constexpr std::uint32_t kMost = 0xffffffffU;
     const auto zoneName = message.find("zone"), serverName = message.find("server");
-    const auto tries = message.count("tries", kMost), failed = message.count("failed", kMost);
+    const auto tries = message.count("tries", kTxnsMost), failed = message.count("failed", kTxnsMost);
     const auto span = message.millis("span_ms");
     const bool timed = message.find("mean_ms").has_value();
     const auto mean = timed ? message.millis("mean_ms") : Micros{};
@@ -79,10 +84,9 @@
 }
 
 void Intake::demand(const Message& message) {
-    constexpr std::uint32_t kMost = 0xffffffffU;
     const auto proxy = proxyOf(message);
     const auto name = message.find("class");
-    const auto tries = message.count("tries", kMost), failed = message.count("failed", kMost);
+    const auto tries = message.count("tries", kTxnsMost), failed = message.count("failed", kTxnsMost);
     const auto span = message.millis("span_ms");
     if (!proxy || !name || !tries || !failed || !span) return counters_.passedOver(Count::BadField, "demand");
     const auto product = names_.product(*name);
