Strangers are refused in time, spoilt reports skipped, SIGHUP reloads, limits are split

Ruled out: CPU (0.04 s in the dearest second), memory (1 MB).

- PeerSession: rows that refuse a stranger (`error`, close); a stream that is no message any more is over.
- Listener: 1 s to join, 0.1 s while others wait for a place; what waits on the socket is read first.
- A newer stream ends the one it replaces, which freed no descriptor before.
- Intake and Outbox: failed > tries, no mean beside good tries, impossible figures, another's proxy, a mark never written: that line alone is passed over.
The ledger never sees a mark that was not sent.
- Station reads memory_mb; splitLimits gives every proxy and collector a place (128 of 256 before) and bounds blocks by the memory told (64 MiB before, with limits from 32).
- SIGHUP re-reads the file; DiscoveryDriver leaves the old address at once and asks for the whole list.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "net/intake.h"
 #include "net/listener.h"
 #include "net/prober.h"
+#include "net/shares.h"
 #include "net/station.h"
 
 namespace {
@@ -24,9 +25,7 @@
 using namespace std::chrono_literals;
 using namespace zincstack;
 
-constexpr std::size_t kBlocksMost = 4096;    // 64 MiB for all peers together
-constexpr std::size_t kOwnDescriptors = 128; // what is not for peers: probes, discovery, the program's own
-constexpr Micros kFirstListMost = 500ms;     // then the list as last had must do
+constexpr Micros kFirstListMost = 500ms; // then the list as last had must do
 
 boost::asio::ip::tcp::endpoint addressOf(std::string_view field, const std::string& text) {
     const auto at = net::parseAddress(text);
@@ -34,11 +33,19 @@
     return *at;
 }
 
-std::size_t peersMost(std::uint32_t told) {
+std::size_t descriptorsMost(std::uint32_t told) {
     rlimit own{};
-    std::size_t most = told;
-    if (getrlimit(RLIMIT_NOFILE, &own) == 0) most = std::min<std::size_t>(most, own.rlim_cur);
-    return most > 2 * kOwnDescriptors ? most - kOwnDescriptors : most / 2;
+    if (getrlimit(RLIMIT_NOFILE, &own) != 0) return told;
+    return std::min<std::size_t>(told, own.rlim_cur);
+}
+
+/// Calls `act` on each of the signals, for as long as the loop runs.
+void onEach(asio::signal_set& signals, const std::function<void()>& act) {
+    signals.async_wait([&signals, act](const boost::system::error_code& error, int) {
+        if (error) return;
+        onEach(signals, act);
+        act();
+    });
 }
 
 int serve(const net::Station& station, const terms::StartTerms& start) {
@@ -46,8 +53,12 @@
     const auto discovery = addressOf("discovery", station.discovery);
 
     net::Counters counters;
-    net::BufferPool pool(kBlocksMost); // outlives what the loop still holds when it ends
+    const net::Shares shares = net::splitLimits(descriptorsMost(station.sockets), station.memoryMb,
+                                                start.forwarders.count, start.zoneNames.size());
+    // The pools outlive what the loop still holds when it ends.
+    net::BufferPool lines(shares.lineBlocks), pushes(shares.pushBlocks);
     asio::io_context io(1);
+    asio::signal_set end(io, SIGTERM, SIGINT), ask(io, SIGUSR1), reload(io, SIGHUP);
     net::Names names(start.productNames, start.zoneNames);
     net::Engine* wakes = nullptr;
     net::Prober* probes = nullptr;
@@ -59,9 +70,10 @@
     net::Engine engine(io, *planner, outbox, counters, start.tick);
     wakes = &engine;
     net::Intake intake(engine, outbox, names, counters, start.forwarders.count);
-    net::Prober prober(io, names, intake, counters, pool, start.connectTimeout, !start.reportColumns.empty());
+    net::Prober prober(io, names, intake, counters, lines, shares.probes, start.connectTimeout,
+                       !start.reportColumns.empty());
     probes = &prober;
-    net::Listener listener(io, listen, peersMost(station.sockets), intake, outbox, counters, pool);
+    net::Listener listener(io, listen, shares.peers, intake, counters, lines, pushes);
     net::DiscoveryWatch watch(
         station.discovery,
         [&](ListNews news, const net::Json& members) {
@@ -69,8 +81,8 @@
             if (used) listener.serve();
             return used;
         },
-        counters);
-    net::DiscoveryDriver driver(io, discovery, watch, pool);
+        counters, shares.listBytes);
+    net::DiscoveryDriver driver(io, discovery, watch, lines);
 
     if (const auto* members = station.known.find("members")) intake.list(ListNews::Cached, *members);
     listener.start();
@@ -79,20 +91,20 @@
     first.async_wait([&](const boost::system::error_code& error) {
         if (!error) listener.serve();
     });
-    asio::signal_set end(io, SIGTERM, SIGINT), ask(io, SIGUSR1);
-    end.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
-    std::function<void()> tell = [&] {
-        ask.async_wait([&](const boost::system::error_code& error, int) {
-            if (error) return;
-            spdlog::info("counters: {}", counters.text());
-            tell();
-        });
-    };
-    tell();
+    onEach(end, [&] { io.stop(); });
+    onEach(ask, [&] { spdlog::info("counters: {}", counters.text()); });
+    onEach(reload, [&] {
+        try {
+            const net::Station anew = net::stationOfFileAnew();
+            driver.move(addressOf("discovery", anew.discovery), anew.discovery);
+            counters.add(net::Count::Reloads);
+            spdlog::info("reload: discovery at {}", anew.discovery);
+        } catch (const Malformed& error) { counters.passedOver(net::Count::ReloadsFailed, error.what()); }
+    });
     const auto at = listener.address();
-    spdlog::info("{} listens on {}:{}, {} products, {} zones, {} proxies", station.name,
-                 at.address().to_string(), at.port(), start.products.size(), start.zoneNames.size(),
-                 start.forwarders.count);
+    spdlog::info("{} listens on {}:{}, {} products, {} zones, {} proxies, room for {} peers, {} probes",
+                 station.name, at.address().to_string(), at.port(), start.products.size(),
+                 start.zoneNames.size(), start.forwarders.count, shares.peers, shares.probes);
     int code = 0;
     try {
         io.run();
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -10,7 +10,7 @@
 
 namespace zincstack::net {
 
-inline constexpr std::size_t kBlockBytes = 16 * 1024;
+inline constexpr std::size_t kBlockBytes = 4 * 1024;
 using Block = std::array<char, kBlockBytes>;
 
 class BufferPool {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -18,15 +18,20 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+constexpr std::string_view kRefusal = "error reason=refused\r\n";
 constexpr std::size_t kQueueBytesMost = 256 * 1024; // that wait for one slow reader
-constexpr int kReadsATurn = 8;                      // before others get their turn
+constexpr int kReadsATurn = 16;                     // before others get their turn
 
 } // namespace
 
-Connection::Connection(asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& pool,
-                       const BufferPool::Lease& readInto, const Alive& alive)
-    : socket_(std::move(socket)), counters_(counters), pool_(pool), readInto_(readInto),
-      session_(intake, counters, pool, *this, [this, alive] { alive(*this); }) {}
+Connection::Connection(asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& lines,
+                       BufferPool& pushes, const BufferPool::Lease& readInto, const Alive& alive)
+    : socket_(std::move(socket)), counters_(counters), pushes_(pushes), readInto_(readInto),
+      session_(intake, counters, lines, *this, [this, alive] { alive(*this); }) {
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+}
 
 void Connection::start(std::function<void()> over) {
     asio::co_spawn(socket_.get_executor(), read(),
@@ -44,22 +49,37 @@
     socket_.close(ignored);
 }
 
+/// Guards against a stall in which the time passed while the joining already waited on the socket.
+void Connection::joinNow() {
+    if (!takeIn(1) || !session_.mayStay()) end();
+}
+
+/// A peer that never joined is told so; it may not read, so no more than the socket takes is written.
+void Connection::end() {
+    error_code ignored;
+    if (socket_.is_open() && session_.refused()) socket_.write_some(asio::buffer(kRefusal), ignored);
+    close();
+}
+
 /// Guards against peers that hold all of the pool: reading needs no block of its own, so no stream is lost.
 asio::awaitable<void> Connection::read() {
     error_code error;
-    socket_.set_option(asio::ip::tcp::no_delay(true), error);
-    socket_.non_blocking(true, error);
     for (;;) {
         co_await socket_.async_wait(asio::socket_base::wait_read,
                                     asio::redirect_error(asio::use_awaitable, error));
-        if (error) co_return;
-        for (int turn = 0; turn < kReadsATurn; ++turn) {
-            const std::size_t got = socket_.read_some(asio::buffer(readInto_.data(), kBlockBytes), error);
-            if (error == asio::error::would_block || error == asio::error::try_again) break;
-            if (error || !session_.feed({readInto_.data(), got})) co_return;
-            if (got < kBlockBytes) break;
-        }
+        if (error || !takeIn(kReadsATurn)) co_return end();
+    }
+}
+
+/// What has come, as far as so many turns take it; false once nothing more is taken.
+bool Connection::takeIn(int turns) {
+    error_code error;
+    for (std::size_t got = kBlockBytes; turns > 0 && got == kBlockBytes; --turns) {
+        got = socket_.read_some(asio::buffer(readInto_.data(), kBlockBytes), error);
+        if (error == asio::error::would_block || error == asio::error::try_again) break;
+        if (error || !session_.feed({readInto_.data(), got})) return false;
     }
+    return true;
 }
 
 bool Connection::push(std::string_view bytes) {
@@ -69,7 +89,7 @@
     const std::size_t room = queue_.empty() || fill == 0 ? 0 : kBlockBytes - fill;
     std::deque<BufferPool::Lease> more;
     for (std::size_t have = room; have < bytes.size(); have += kBlockBytes) {
-        more.push_back(pool_.take());
+        more.push_back(pushes_.take());
         if (!more.back()) return false;
     }
     while (!bytes.empty()) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -23,24 +23,29 @@
     using Alive = std::function<void(Connection&)>;
 
     /// `readInto` is one for all: what is read is fed on at once.
-    Connection(boost::asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& pool,
-               const BufferPool::Lease& readInto, const Alive& alive);
+    Connection(boost::asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& lines,
+               BufferPool& pushes, const BufferPool::Lease& readInto, const Alive& alive);
 
     /// Serves the peer until its end; `over` is called then.
     void start(std::function<void()> over);
-    void close();
+    /// Its time to join is over: it ends, unless what has come by now joins it.
+    void joinNow();
     const PeerSession& session() const { return session_; }
 
     bool push(std::string_view bytes) override;
     bool idle() const override { return queued_ == 0; }
+    void replaced() override { close(); }
 
 private:
+    void close();
+    void end();
+    bool takeIn(int turns);
     boost::asio::awaitable<void> read();
     boost::asio::awaitable<void> write();
 
     boost::asio::ip::tcp::socket socket_;
     Counters& counters_;
-    BufferPool& pool_;
+    BufferPool& pushes_;
     const BufferPool::Lease& readInto_;
     PeerSession session_;
     std::deque<BufferPool::Lease> queue_;
--- a/src/net/discovery_driver.cpp
+++ b/src/net/discovery_driver.cpp
@@ -25,42 +25,60 @@
 
 DiscoveryDriver::DiscoveryDriver(asio::io_context& io, asio::ip::tcp::endpoint at, DiscoveryWatch& watch,
                                  BufferPool& pool)
-    : io_(io), at_(std::move(at)), watch_(watch), pool_(pool), timer_(io) {}
+    : io_(io), at_(std::move(at)), watch_(watch), pool_(pool), timer_(io), socket_(io) {}
 
 void DiscoveryDriver::start() { asio::co_spawn(io_, follow(), rethrow); }
 
+void DiscoveryDriver::move(asio::ip::tcp::endpoint at, std::string host) {
+    if (at == at_) return;
+    at_ = std::move(at);
+    ++moves_;
+    watch_.moved(std::move(host));
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+}
+
 asio::awaitable<void> DiscoveryDriver::follow() {
     Micros pace = kPaceLeast;
     bool answered = true;
     for (;;) {
-        const auto before = watch_.answers();
+        const auto before = watch_.answers(), moves = moves_;
         co_await converse();
         const bool came = watch_.answers() != before;
         if (std::exchange(answered, came) != came)
             spdlog::info("discovery: {}", came ? "answers again" : "no answer, the old list holds");
-        if (!came) co_await pauseUntil(Steady::now() + pace);
+        if (moves != moves_)
+            pace = kPaceLeast;
+        else if (!came)
+            co_await pauseUntil(Steady::now() + pace);
         pace = came ? kPaceLeast : std::min(2 * pace, kPaceMost);
     }
 }
 
 /// One connection, for as long as it is of use.
 asio::awaitable<void> DiscoveryDriver::converse() {
-    asio::ip::tcp::socket socket(io_);
+    const auto moves = moves_;
     const auto block = pool_.take();
-    if (!block || co_await connectTo(socket, at_, kConnectMost)) co_return;
+    boost::system::error_code error;
+    socket_ = asio::ip::tcp::socket(io_);
+    if (!block || co_await connectTo(socket_, at_, kConnectMost) || moves != moves_) co_return;
     std::string request = watch_.connected();
     while (watch_.usable()) {
         if (!request.empty()) {
             co_await pauseUntil(calledAt_ + kCallGap);
+            if (moves != moves_) co_return;
             calledAt_ = Steady::now();
-            if (co_await writeAll(socket, request)) break;
+            error = co_await writeAll(socket_, request);
         }
-        boost::system::error_code error;
-        const std::size_t got = co_await readPiece(socket, block, watch_.patience(), error);
+        std::size_t got = 0;
+        if (!error) got = co_await readPiece(socket_, block, watch_.patience(), error);
+        if (moves != moves_) co_return; // Guards against the old list in the new one's place.
         if (error) break;
         request = watch_.feed({block.data(), got});
     }
     if (watch_.usable()) watch_.lost();
+    socket_.close(error);
 }
 
 asio::awaitable<void> DiscoveryDriver::pauseUntil(Steady::time_point when) {
--- a/src/net/discovery_driver.h
+++ b/src/net/discovery_driver.h
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstdint>
+#include <string>
 
 #include "net/buffer_pool.h"
 #include "net/discovery_watch.h"
@@ -18,6 +20,8 @@
     DiscoveryDriver(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint at, DiscoveryWatch& watch,
                     BufferPool& pool);
     void start();
+    /// Leaves the old address at once, in the middle of whatever goes on there.
+    void move(boost::asio::ip::tcp::endpoint at, std::string host);
 
 private:
     using Steady = std::chrono::steady_clock;
@@ -26,10 +30,12 @@
     boost::asio::awaitable<void> pauseUntil(Steady::time_point when);
 
     boost::asio::io_context& io_;
-    const boost::asio::ip::tcp::endpoint at_;
+    boost::asio::ip::tcp::endpoint at_;
     DiscoveryWatch& watch_;
     BufferPool& pool_;
     boost::asio::steady_timer timer_;
+    boost::asio::ip::tcp::socket socket_;
+    std::uint64_t moves_ = 0;
     Steady::time_point calledAt_{};
 };
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -22,10 +22,11 @@
     {State::Watching, Input::List, State::Watching, Effect::AskNewer},
     {State::Any, Input::Unusable, State::Apart, Effect::LeaveAndForget},
     {State::Any, Input::Lost, State::Apart, Effect::Leave},
+    {State::Any, Input::Moved, State::Apart, Effect::Forget},
 };
 
-DiscoveryWatch::DiscoveryWatch(std::string host, Told told, Counters& counters)
-    : host_(std::move(host)), told_(std::move(told)), counters_(counters) {}
+DiscoveryWatch::DiscoveryWatch(std::string host, Told told, Counters& counters, std::size_t answerMost)
+    : host_(std::move(host)), told_(std::move(told)), counters_(counters), answerMost_(answerMost) {}
 
 std::string DiscoveryWatch::connected() {
     return step(revision_ ? Input::ConnectedKnowing : Input::Connected);
@@ -46,6 +47,11 @@
     step(Input::Lost);
 }
 
+void DiscoveryWatch::moved(std::string host) {
+    host_ = std::move(host);
+    step(Input::Moved);
+}
+
 Micros DiscoveryWatch::patience() const { return kAnswerMost + (state_ == State::Watching ? kWatchFor : 0s); }
 
 std::string DiscoveryWatch::step(Input input) {
@@ -55,13 +61,14 @@
     counters_.holds(row != std::end(kRows));
     if (row == std::end(kRows)) return {};
     state_ = row->next;
-    response_ = {};
+    response_ = HttpResponse(answerMost_);
     std::string query;
     switch (row->effect) {
     case Effect::LeaveAndForget:
         revision_.reset();
         counters_.passedOver(Count::ListsFailed, "an answer of discovery that can't be used");
         return {};
+    case Effect::Forget: revision_.reset(); return {};
     case Effect::Leave: return {};
     case Effect::AskWhole: break;
     case Effect::AskNewer:
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -20,7 +20,8 @@
     /// False: the members can't be used, and the old list holds.
     using Told = std::function<bool(ListNews, const Json& members)>;
 
-    DiscoveryWatch(std::string host, Told told, Counters& counters);
+    /// `answerMost`: bytes of one answer.
+    DiscoveryWatch(std::string host, Told told, Counters& counters, std::size_t answerMost);
 
     /// A new connection is up: the request to write.
     std::string connected();
@@ -28,6 +29,8 @@
     std::string feed(std::string_view bytes);
     /// The connection has ended or fallen silent.
     void lost();
+    /// Discovery is elsewhere from now on, and counts its revisions anew.
+    void moved(std::string host);
     bool usable() const { return state_ != State::Apart; }
     /// How many answers could be used so far.
     std::uint64_t answers() const { return answers_; }
@@ -36,8 +39,8 @@
 
 private:
     enum class State { Apart, AskedWhole, Watching, Any };
-    enum class Input { Connected, ConnectedKnowing, List, Unusable, Lost };
-    enum class Effect { AskWhole, AskNewer, Leave, LeaveAndForget };
+    enum class Input { Connected, ConnectedKnowing, List, Unusable, Lost, Moved };
+    enum class Effect { AskWhole, AskNewer, Leave, LeaveAndForget, Forget };
     struct Row {
         State state;
         Input input;
@@ -49,11 +52,12 @@
     std::string step(Input input);
     bool answer();
 
-    const std::string host_;
+    std::string host_;
     Told told_;
     Counters& counters_;
+    const std::size_t answerMost_;
     State state_ = State::Apart;
-    HttpResponse response_;
+    HttpResponse response_{answerMost_};
     std::optional<std::string> revision_;
     std::uint64_t answers_ = 0;
 };
--- a/src/net/http_response.cpp
+++ b/src/net/http_response.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::size_t kHeadBytesMost = 64 * 1024;
-constexpr std::size_t kBodyBytesMost = 4 * 1024 * 1024;
 
 bool sameWord(std::string_view one, std::string_view other) {
     return std::ranges::equal(
@@ -110,7 +109,7 @@
     const auto name = text.substr(0, colon), value = trimmed(text.substr(colon + 1));
     if (sameWord(name, "Content-Length")) {
         sized_ = true;
-        if (!wholeNumber(value, left_, 10) || left_ > kBodyBytesMost) stage_ = Stage::Broken;
+        if (!wholeNumber(value, left_, 10) || left_ > bodyMost_) stage_ = Stage::Broken;
     } else if (sameWord(name, "Transfer-Encoding")) {
         chunked_ = sameWord(value, "chunked");
     } else if (sameWord(name, "Connection")) {
@@ -122,7 +121,7 @@
 
 void HttpResponse::startBody() {
     if (status_ / 100 == 1)
-        *this = HttpResponse();
+        *this = HttpResponse(bodyMost_);
     else if (status_ == 204 || status_ == 304 || (sized_ && !chunked_ && left_ == 0))
         stage_ = Stage::Done;
     else
@@ -131,7 +130,7 @@
 
 void HttpResponse::size(std::string_view text) {
     headBytes_ = 0; // chunk lines are bounded each, the body by its own bound
-    if (!wholeNumber(trimmed(text.substr(0, text.find(';'))), left_, 16) || left_ > kBodyBytesMost)
+    if (!wholeNumber(trimmed(text.substr(0, text.find(';'))), left_, 16) || left_ > bodyMost_)
         stage_ = Stage::Broken;
     else if (left_ == 0)
         stage_ = Stage::Trailers;
@@ -139,7 +138,7 @@
 
 void HttpResponse::data(std::string_view& bytes, Stage next) {
     const std::size_t part = std::min(left_, bytes.size());
-    if (body_.size() + part > kBodyBytesMost) {
+    if (body_.size() + part > bodyMost_) {
         stage_ = Stage::Broken;
         return;
     }
--- a/src/net/http_response.h
+++ b/src/net/http_response.h
@@ -22,6 +22,8 @@
         Broken
     };
 
+    explicit HttpResponse(std::size_t bodyMost) : bodyMost_(bodyMost) {}
+
     /// Returns how many bytes it took: all of them unless the response is done or broken.
     std::size_t feed(std::string_view bytes);
     /// The connection has ended: done if the response could end so, else broken.
@@ -52,6 +54,7 @@
     void size(std::string_view text);
     void data(std::string_view& bytes, Stage next);
 
+    std::size_t bodyMost_;
     Stage stage_ = Stage::StatusLine;
     std::string held_, body_; // a line without its end yet; the body as far as it came
     std::size_t left_ = 0, headBytes_ = 0;
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -11,7 +11,11 @@
 
 namespace {
 
-constexpr std::uint32_t kTxnsMost = 0xffffffffU; // in one line of a report
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kTxnsMost = 10'000'000; // in one line of a report
+constexpr double kLoadMost = 1e9;               // of any figure of a load report
+constexpr Micros kSpanMost = 10min;             // that a line sums up; and a delay, a wait
 
 } // namespace
 
@@ -60,35 +64,49 @@
 void Intake::ack(const Message& message, ProxyId proxy, const PushTarget& stream) {
     const auto named = proxyOf(message);
     const auto mark = message.count("mark", 65535);
-    if (!mark || !named || *named != proxy) return counters_.passedOver(Count::BadField, "ack");
+    if (!mark || !named || *named != proxy || !spanOf(message, "took_ms"))
+        return counters_.passedOver(Count::BadField, "ack");
     if (!outbox_.owns(proxy, stream)) return counters_.add(Count::Stale);
+    if (!outbox_.answered(proxy, {static_cast<std::uint16_t>(*mark)}))
+        return counters_.passedOver(Count::BadMark, "no such mark waits for its answer");
     counters_.add(Count::Acks);
     engine_.input().applied(proxy, {static_cast<std::uint16_t>(*mark)});
 }
 
+std::optional<Micros> Intake::spanOf(const Message& message, std::string_view name) {
+    const auto span = message.millis(name);
+    return span && *span <= kSpanMost ? span : std::nullopt;
+}
+
+/// Guards against reports that are spoilt: one field that can't be, and nothing of the line is believed.
 void Intake::outcomes(const Message& message) {
     const auto zoneName = message.find("zone"), serverName = message.find("server");
     const auto tries = message.count("tries", kTxnsMost), failed = message.count("failed", kTxnsMost);
-    const auto span = message.millis("span_ms");
-    const bool timed = message.find("mean_ms").has_value();
-    const auto mean = timed ? message.millis("mean_ms") : Micros{};
-    if (!zoneName || !serverName || !tries || !failed || !span || !mean)
+    const auto span = spanOf(message, "span_ms");
+    const bool timed = message.find("mean_ms") || (tries && failed && *tries > *failed);
+    const auto mean = timed ? spanOf(message, "mean_ms") : Micros{};
+    if (!zoneName || !serverName || !tries || !failed || *failed > *tries || !span || !mean)
         return counters_.passedOver(Count::BadField, "outcomes");
     const auto zone = names_.zone(*zoneName);
     const auto server = names_.server(*serverName);
     if (!zone || !server) return counters_.passedOver(Count::BadName, *serverName);
     ServerSums line{*server, *zone, *tries, *failed, *mean, *span, {}};
-    if (const auto load = message.find("load")) line.report = report(*load, ':', ',');
+    if (const auto load = message.find("load")) {
+        const auto read = report(*load, ':', ',');
+        if (!read) return counters_.passedOver(Count::BadField, *load);
+        line.report = *read;
+    }
     counters_.add(Count::Outcomes);
     engine_.input().sums(line);
 }
 
-void Intake::demand(const Message& message) {
+void Intake::demand(const Message& message, std::optional<ProxyId> stream) {
     const auto proxy = proxyOf(message);
     const auto name = message.find("class");
     const auto tries = message.count("tries", kTxnsMost), failed = message.count("failed", kTxnsMost);
-    const auto span = message.millis("span_ms");
-    if (!proxy || !name || !tries || !failed || !span) return counters_.passedOver(Count::BadField, "demand");
+    const auto span = spanOf(message, "span_ms");
+    if (!proxy || (stream && *stream != *proxy) || !name || !tries || !failed || *failed > *tries || !span)
+        return counters_.passedOver(Count::BadField, "demand");
     const auto product = names_.product(*name);
     if (!product) return counters_.passedOver(Count::BadName, *name);
     counters_.add(Count::Demands);
@@ -154,18 +172,17 @@
     return true;
 }
 
-LoadReport Intake::report(std::string_view text, char pairMark, char separator) const {
+std::optional<LoadReport> Intake::report(std::string_view text, char pairMark, char separator) {
     LoadReport out;
+    bool sound = true;
     eachPart(text, separator, [&](std::string_view pair) {
         while (pair.starts_with(' ')) pair.remove_prefix(1);
         const auto mark = pair.find(pairMark);
-        if (mark == std::string_view::npos) return;
-        const auto name = pair.substr(0, mark);
-        const auto value = parseNumber(pair.substr(mark + 1));
-        if (!value) return counters_.passedOver(Count::BadField, "load");
-        terms::placeLoad(name, *value, out);
+        const auto value = mark == std::string_view::npos ? std::nullopt : parseNumber(pair.substr(mark + 1));
+        sound = sound && value && *value <= kLoadMost;
+        if (sound) terms::placeLoad(pair.substr(0, mark), *value, out);
     });
-    return out;
+    return sound ? std::optional(out) : std::nullopt;
 }
 
 void Intake::probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body) {
@@ -176,7 +193,9 @@
     counters_.add(kCounts[static_cast<std::size_t>(status)]);
     while (body.ends_with('\n') || body.ends_with('\r')) body.remove_suffix(1);
     if (body.starts_with(kTextForm)) body.remove_prefix(kTextForm.size());
-    engine_.input().probed({server, status, delay, report(body, '=', ',')});
+    const auto load = report(body, '=', ',');
+    if (!load) counters_.passedOver(Count::BadField, "load of a probe");
+    engine_.input().probed({server, status, delay, load.value_or(LoadReport{})});
 }
 
 } // namespace zincstack::net
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -24,7 +24,8 @@
     void ended(ProxyId proxy, const PushTarget& stream);
     void ack(const Message& message, ProxyId proxy, const PushTarget& stream);
     void outcomes(const Message& message);
-    void demand(const Message& message);
+    /// `stream`: the proxy on whose own stream it came; none if a collector brought it.
+    void demand(const Message& message, std::optional<ProxyId> stream);
     /// False where an entry can't be used: nothing was passed on.
     bool list(ListNews news, const Json& members);
     void probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body);
@@ -32,7 +33,9 @@
 private:
     std::optional<ProxyId> proxyOf(const Message& message) const;
     bool entry(const Json& member, ListedServer& into, std::string_view& address);
-    LoadReport report(std::string_view text, char pairMark, char separator) const;
+    static std::optional<Micros> spanOf(const Message& message, std::string_view name);
+    /// None where a figure is none.
+    static std::optional<LoadReport> report(std::string_view text, char pairMark, char separator);
 
     Engine& engine_;
     Outbox& outbox_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,9 +4,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
-#include <utility>
-
 #include "net/fatal.h"
 
 namespace zincstack::net {
@@ -16,17 +13,21 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
-constexpr auto kPause = 50ms;            // before another try where nothing more can be taken
-constexpr std::size_t kEvictedPart = 16; // of all peers, one in so many gives way at once
+constexpr auto kPause = 50ms;       // before another try where the system can take nothing more
+constexpr auto kJoinWithin = 1s;    // what has not joined by then is no collector and no proxy
+constexpr auto kJoinIfFull = 100ms; // the same while others wait to be taken
 
 } // namespace
 
 Listener::Listener(asio::io_context& io, const asio::ip::tcp::endpoint& at, std::size_t peersMost,
-                   Intake& intake, const Outbox& outbox, Counters& counters, BufferPool& pool)
-    : acceptor_(io, at, true), pause_(io), peersMost_(peersMost), intake_(intake), outbox_(outbox),
-      counters_(counters), pool_(pool) {}
+                   Intake& intake, Counters& counters, BufferPool& lines, BufferPool& pushes)
+    : acceptor_(io, at, true), room_(io), due_(io), peersMost_(peersMost), intake_(intake),
+      counters_(counters), lines_(lines), pushes_(pushes) {}
 
-void Listener::start() { asio::co_spawn(acceptor_.get_executor(), accept(), rethrow); }
+void Listener::start() {
+    asio::co_spawn(acceptor_.get_executor(), accept(), rethrow);
+    asio::co_spawn(acceptor_.get_executor(), watchNewcomers(), rethrow);
+}
 
 void Listener::serve() {
     if (std::exchange(serving_, true)) return;
@@ -40,41 +41,59 @@
     if (!peer.push("alive\r\n")) counters_.passedOver(Count::NoRoom, "no room for an answer");
 }
 
-/// Guards against strangers that hold all descriptors: the oldest peers that are of no use give way.
-bool Listener::makeRoom() {
-    const std::size_t most = peersMost_ / kEvictedPart + 1;
-    std::size_t evicted = 0;
-    for (const auto& peer : peers_) {
-        const auto& session = peer->session();
-        if (!session.stranger() && (!session.proxy() || outbox_.owns(*session.proxy(), *peer))) continue;
-        counters_.passedOver(Count::EvictedStranger, "room was needed");
-        peer->close();
-        if (++evicted == most) break;
+asio::awaitable<void> Listener::sleep(asio::steady_timer& timer, Steady::time_point until) {
+    boost::system::error_code ignored;
+    timer.expires_at(until);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+/// Guards against peers that say nothing, half of something, or no more than a probe, and hold their places:
+/// each has its time to join, a shorter one where others wait. Proxies and collectors never give way.
+asio::awaitable<void> Listener::watchNewcomers() {
+    for (;;) {
+        if (newcomers_.empty()) {
+            co_await sleep(due_, Steady::time_point::max());
+            continue;
+        }
+        const auto& [since, weak] = newcomers_.front();
+        const auto due = since + (full() ? Steady::duration(kJoinIfFull) : kJoinWithin);
+        bool early = false;
+        if (const auto peer = weak.lock(); peer && peer->session().stranger()) {
+            early = Steady::now() < due;
+            if (!early) peer->joinNow();
+        }
+        if (early)
+            co_await sleep(due_, due);
+        else
+            newcomers_.pop_front();
     }
-    return evicted > 0;
 }
 
 asio::awaitable<void> Listener::accept() {
     for (;;) {
         boost::system::error_code error;
-        if (peers_.size() >= peersMost_) {
-            if (!makeRoom()) counters_.passedOver(Count::RefusedFull, "peers wait to be taken");
-            pause_.expires_after(kPause);
-            co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        if (full()) {
+            counters_.passedOver(Count::RefusedFull, "peers wait to be taken");
+            due_.cancel(); // newcomers have less time now
+            co_await sleep(room_, Steady::time_point::max());
             continue;
         }
         auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             counters_.passedOver(Count::RefusedFull, error.message());
-            pause_.expires_after(kPause);
-            co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            co_await sleep(room_, Steady::now() + kPause);
             continue;
         }
         counters_.add(Count::Accepted);
         const auto at = peers_.insert(
-            peers_.end(), std::make_shared<Connection>(std::move(socket), intake_, counters_, pool_,
+            peers_.end(), std::make_shared<Connection>(std::move(socket), intake_, counters_, lines_, pushes_,
                                                        readInto_, [this](Connection& peer) { alive(peer); }));
-        (*at)->start([this, at] { peers_.erase(at); });
+        if (newcomers_.empty()) due_.cancel();
+        newcomers_.emplace_back(Steady::now(), *at);
+        (*at)->start([this, at] {
+            peers_.erase(at);
+            room_.cancel();
+        });
     }
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -1,4 +1,5 @@
-// Takes connections at the planner's address, keeps count of them, and answers probes once it serves.
+// Takes connections at the planner's address, keeps count of them, sees to it that each joins in its time, and
+// answers probes once it serves.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -6,11 +7,17 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
+#include <deque>
 #include <list>
 #include <memory>
+#include <utility>
 #include <vector>
 
+#include "net/buffer_pool.h"
 #include "net/connection.h"
+#include "net/counters.h"
+#include "net/intake.h"
 
 namespace zincstack::net {
 
@@ -18,7 +25,7 @@
 public:
     /// Throws boost::system::system_error where the address can't be listened on.
     Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, std::size_t peersMost,
-             Intake& intake, const Outbox& outbox, Counters& counters, BufferPool& pool);
+             Intake& intake, Counters& counters, BufferPool& lines, BufferPool& pushes);
 
     void start();
     /// From now on probes are answered; those that wait are now.
@@ -26,19 +33,22 @@
     boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
 private:
+    using Steady = std::chrono::steady_clock;
     boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> watchNewcomers();
+    boost::asio::awaitable<void> sleep(boost::asio::steady_timer& timer, Steady::time_point until);
     void alive(Connection& peer);
-    bool makeRoom();
+    bool full() const { return peers_.size() >= peersMost_; }
 
     boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer pause_;
+    boost::asio::steady_timer room_, due_;
     const std::size_t peersMost_;
     Intake& intake_;
-    const Outbox& outbox_;
     Counters& counters_;
-    BufferPool& pool_;
-    const BufferPool::Lease readInto_ = pool_.take();
-    std::list<std::shared_ptr<Connection>> peers_; // oldest first
+    BufferPool &lines_, &pushes_;
+    const BufferPool::Lease readInto_ = lines_.take();
+    std::list<std::shared_ptr<Connection>> peers_;
+    std::deque<std::pair<Steady::time_point, std::weak_ptr<Connection>>> newcomers_; // oldest first
     std::vector<std::weak_ptr<Connection>> asking_;
     bool serving_ = false;
 };
--- a/src/net/outbox.cpp
+++ b/src/net/outbox.cpp
@@ -7,12 +7,22 @@
 
 namespace zincstack::net {
 
+namespace {
+
+constexpr std::size_t kMarksMost = 1024; // without an answer, on one stream
+
+} // namespace
+
 Outbox::Outbox(const Names& names, Counters& counters, std::function<void(ServerId)> probe,
                std::function<void(Micros)> wake)
     : names_(names), counters_(counters), probe_(std::move(probe)), wake_(std::move(wake)) {}
 
 bool Outbox::joined(ProxyId proxy, PushTarget& stream) {
-    return !held_.insert_or_assign(proxy, Held{&stream}).second;
+    const auto before = held_.find(proxy);
+    const bool had = before != held_.end();
+    if (had) before->second.stream->replaced();
+    held_.insert_or_assign(proxy, Held{&stream});
+    return had;
 }
 
 bool Outbox::owns(ProxyId proxy, const PushTarget& stream) const {
@@ -24,6 +34,17 @@
     return owns(proxy, stream) && held_.erase(proxy);
 }
 
+/// Guards against an answer that names a mark of another time: the ledger would take as gone what still waits.
+bool Outbox::answered(ProxyId proxy, MarkId number) {
+    const auto found = held_.find(proxy);
+    if (found == held_.end()) return false;
+    auto& marks = found->second.unanswered;
+    const auto at = std::ranges::find(marks, number);
+    if (at == marks.end()) return false;
+    marks.erase(marks.begin(), at + 1); // what was written before it has come too, answered or not
+    return true;
+}
+
 template <class Call>
 void Outbox::eachBound(TableId table, const Call& call) {
     for (auto& [id, held] : held_)
@@ -139,10 +160,11 @@
 void Outbox::write(Held& held) {
     const PushMessage next = message(held);
     if (held.behind) return;
-    if (held.stream->push(writePush(next, names_, counters_)))
-        held.mark.reset();
-    else
-        held.behind = true;
+    held.behind = !held.stream->push(writePush(next, names_, counters_));
+    if (held.behind) return;
+    if (held.mark) held.unanswered.push_back(*held.mark);
+    if (held.unanswered.size() > kMarksMost) held.unanswered.pop_front();
+    held.mark.reset();
 }
 
 /// What was told on the stream is not known any more, as after a new one.
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -2,6 +2,7 @@
 // what each stream has been told, so that a binding brings the table as it stands.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -26,6 +27,8 @@
     /// True if that stream was the proxy's own: the proxy has left.
     bool left(ProxyId proxy, const PushTarget& stream);
     bool owns(ProxyId proxy, const PushTarget& stream) const;
+    /// The proxy has answered a mark; false where no such mark was written on its stream, or it was answered.
+    bool answered(ProxyId proxy, MarkId number);
     /// Writes what was ordered in this batch.
     void flush();
 
@@ -48,6 +51,7 @@
         LevelLines loose = {}; // levels ordered while it is bound to no table
         std::set<ServerId> shutNow = {}, letNow = {};
         std::optional<MarkId> mark = {};
+        std::deque<MarkId> unanswered = {}; // marks written, oldest first
         bool behind = false;
 
         bool concerned() const {
--- a/src/net/peer_session.h
+++ b/src/net/peer_session.h
@@ -18,18 +18,22 @@
     PeerSession(Intake& intake, Counters& counters, BufferPool& pool, PushTarget& stream,
                 std::function<void()> alive);
 
-    /// False: nothing more can be framed on this connection.
+    /// False: nothing more is taken on this connection.
     bool feed(std::string_view bytes);
+    /// The time to join is over. False: it has not, and nothing more is taken.
+    bool mayStay();
     /// The connection has ended.
     void ended();
     std::optional<ProxyId> proxy() const { return proxy_; }
     /// It has said nothing yet that makes it a collector or a proxy.
     bool stranger() const { return state_ == State::Stranger; }
+    /// It never joined, and is to be told `error` before the close.
+    bool refused() const { return state_ == State::Refused; }
 
 private:
-    enum class State { Stranger, Collector, Stream, Any };
-    enum class Word { Probe, Agent, Hello, Ack, Outcomes, Demand };
-    enum class Effect { Alive, Name, Join, Applied, Sums, Usage };
+    enum class State { Stranger, Collector, Stream, Refused, Gone, Any };
+    enum class Word { Probe, Agent, Hello, Ack, Outcomes, Demand, Other, Unusable, Unreadable, Late, Any };
+    enum class Effect { Nothing, Alive, Name, Join, Applied, Sums, Usage, PassOver, Refuse, Leave };
     struct Row {
         State state;
         Word word;
@@ -38,8 +42,10 @@
     };
     static const Row kRows[];
 
-    void line(std::string_view text);
-    bool act(Effect effect, const Message& message);
+    bool line(std::string_view text);
+    bool said(Word word, const Message& message, std::string_view text);
+    bool act(Effect effect, const Message& message, std::string_view text);
+    bool open() const { return state_ != State::Refused && state_ != State::Gone; }
 
     Intake& intake_;
     Counters& counters_;
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -20,15 +20,15 @@
 using namespace std::chrono_literals;
 using Steady = std::chrono::steady_clock;
 
-constexpr std::size_t kAtOnceMost = 64;
+constexpr std::size_t kBodyMost = 64 * 1024;
 constexpr Micros kAnswerMost = 500ms;  // no answer after that
 constexpr Micros kConnectMost = 250ms; // where the start terms tell none
 
 } // namespace
 
 Prober::Prober(asio::io_context& io, const Names& names, Intake& intake, Counters& counters, BufferPool& pool,
-               Micros connectMost, bool reports)
-    : io_(io), names_(names), intake_(intake), counters_(counters), pool_(pool),
+               std::size_t atOnceMost, Micros connectMost, bool reports)
+    : io_(io), names_(names), intake_(intake), counters_(counters), pool_(pool), atOnceMost_(atOnceMost),
       connectMost_(connectMost > 0s ? connectMost : kConnectMost), path_(reports ? "/-/load" : "/-/healthy") {
 }
 
@@ -37,7 +37,7 @@
 /// Starts in a turn of its own: the order comes from inside a decision, and no result may come back there.
 asio::awaitable<void> Prober::run(ServerId server) {
     co_await asio::post(io_, asio::use_awaitable);
-    if (running_ >= kAtOnceMost) {
+    if (running_ >= atOnceMost_) {
         intake_.probed(server, ProbeStatus::Rejected, 0s, {});
         co_return;
     }
@@ -60,7 +60,7 @@
     const std::string request =
         "GET " + path_ + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n";
     if (co_await writeAll(socket, request)) co_return Found{ProbeStatus::Broken, {}};
-    HttpResponse response;
+    HttpResponse response(kBodyMost);
     while (!response.done() && !response.broken()) {
         boost::system::error_code error;
         const std::size_t got = co_await readPiece(socket, block, kAnswerMost, error);
--- a/src/net/prober.h
+++ b/src/net/prober.h
@@ -13,7 +13,7 @@
 class Prober {
 public:
     Prober(boost::asio::io_context& io, const Names& names, Intake& intake, Counters& counters,
-           BufferPool& pool, Micros connectMost, bool reports);
+           BufferPool& pool, std::size_t atOnceMost, Micros connectMost, bool reports);
     void probe(ServerId server);
 
 private:
@@ -29,6 +29,7 @@
     Intake& intake_;
     Counters& counters_;
     BufferPool& pool_;
+    const std::size_t atOnceMost_;
     const Micros connectMost_;
     const std::string path_;
     std::size_t running_ = 0;
--- a/src/net/push_target.h
+++ b/src/net/push_target.h
@@ -12,6 +12,8 @@
     virtual bool push(std::string_view bytes) = 0;
     /// All that it took has been written.
     virtual bool idle() const = 0;
+    /// Nothing more is said or heard here: the proxy has a newer stream.
+    virtual void replaced() = 0;
 };
 
 } // namespace zincstack::net
--- a/src/net/station.cpp
+++ b/src/net/station.cpp
@@ -73,9 +73,12 @@
     out.listen = required(all, "listen");
     out.discovery = required(all, "discovery");
     out.seed = whole<std::uint64_t>("seed", required(all, "seed"), 16);
-    if (const Json* limits = all.find("limits"))
+    if (const Json* limits = all.find("limits")) {
         if (const auto* sockets = limits->textOf("sockets", Json::Kind::Number))
             out.sockets = whole<std::uint32_t>("limits.sockets", *sockets, 10);
+        if (const auto* memory = limits->textOf("memory_mb", Json::Kind::Number))
+            out.memoryMb = whole<std::uint32_t>("limits.memory_mb", *memory, 10);
+    }
     if (const Json* known = all.find("known")) out.known = *known;
     const Json* terms = all.find("settings");
     if (!terms || terms->kind != Json::Kind::Object)
@@ -84,7 +87,7 @@
     return out;
 }
 
-Station stationOfEnvironment() {
+Station stationOfFileAnew() {
     const char* path = std::getenv("PROXY_CONFIG");
     if (!path || !*path) throw Malformed("environment: PROXY_CONFIG is not set");
     std::ifstream file(path, std::ios::binary);
@@ -92,7 +95,11 @@
         throw Malformed("environment: PROXY_CONFIG names a file that can't be read: '" + std::string(path) +
                         "'");
     const std::string text{std::istreambuf_iterator<char>(file), {}};
-    Station out = readStation(text);
+    return readStation(text);
+}
+
+Station stationOfEnvironment() {
+    Station out = stationOfFileAnew();
     const std::pair<const char*, std::string&> overriding[] = {
         {"PROXY_NAME", out.name}, {"PROXY_LISTEN", out.listen}, {"PROXY_DISCOVERY", out.discovery}};
     for (const auto& [variable, field] : overriding)
--- a/src/net/station.h
+++ b/src/net/station.h
@@ -17,6 +17,7 @@
     std::string discovery;
     std::uint64_t seed = 0;
     std::uint32_t sockets = 1024;
+    std::uint32_t memoryMb = 192;
     Json known; ///< in discovery's form; null where there is none
     terms::FlatTerms flat;
 };
@@ -27,7 +28,9 @@
 /// Throws Malformed, naming the field.
 Station readStation(std::string_view text);
 
-/// Reads the file that the environment names; listen and discovery of the environment go before the file's.
+/// Reads the file that the environment names; name and addresses of the environment go before the file's.
 Station stationOfEnvironment();
+/// Reads that file again: what the environment says is as old as the start, so the file's fields go first.
+Station stationOfFileAnew();
 
 } // namespace zincstack::net
