Limits wait until sums cover what is let in; servers that ended long ago are forgotten

The best settled work was reckoned from the first sums, which tell of few proxies, while wanted comes from all that have joined (Levels::stressed), and under limits the best can't grow by more than the gain. Ruled out: the reload itself (discovery answered at its new address at once, lists_whole=3), CPU (0.03 s in the dearest second). Limits now begin only once sums have told of 0.8 of the tries that were let in.

Beside it: a server that ended 30 s ago and is in no table is forgotten by the module, its index reused, its name and what streams were told of it dropped. Before, each joiner was told of every server that had ever ended, outShare and the view of the fleet counted them, and the memory for them grew. The prober's call held a reference into the names' vector over its waits; it has a copy now.

--- a/src/net/names.h
+++ b/src/net/names.h
@@ -26,18 +26,28 @@
         if (at == index_.end()) return {};
         return at->second;
     }
-    /// The id of a server that the list names; a name keeps its id for good.
+    /// The id of a server that the list names; it keeps it until it is forgotten, and no other ever gets it.
     ServerId listed(std::string_view name) {
         if (const auto known = server(name)) return *known;
-        const ServerId id{servers_.size()};
-        servers_.emplace_back(name);
-        addresses_.emplace_back();
+        const ServerId id{next_++};
+        servers_.emplace(id, Server{std::string(name), {}});
         index_.emplace(name, id);
         return id;
     }
-    void moved(ServerId id, std::string_view address) { addresses_[id.value] = address; }
-    const std::string& of(ServerId id) const { return servers_[id.value]; }
-    const std::string& address(ServerId id) const { return addresses_[id.value]; }
+    void moved(ServerId id, std::string_view address) { servers_.at(id).address = address; }
+    void forget(ServerId id) {
+        if (const auto at = servers_.find(id); at != servers_.end()) {
+            index_.erase(at->second.name);
+            servers_.erase(at);
+        }
+    }
+    const std::string& of(ServerId id) const { return servers_.at(id).name; }
+    /// Empty where it is forgotten.
+    std::string address(ServerId id) const {
+        const auto at = servers_.find(id);
+        return at == servers_.end() ? std::string{} : at->second.address;
+    }
+    std::size_t servers() const { return servers_.size(); }
     const std::string& of(ProductId id) const { return products_[id.value]; }
     std::size_t products() const { return products_.size(); }
 
@@ -48,7 +58,12 @@
             if (all[k] == name) return IdType{static_cast<decltype(IdType::value)>(k)};
         return {};
     }
-    std::vector<std::string> products_, zones_, servers_, addresses_;
+    struct Server {
+        std::string name, address;
+    };
+    std::vector<std::string> products_, zones_;
+    std::map<ServerId, Server> servers_;
+    std::uint64_t next_ = 0;
     std::map<std::string, ServerId, std::less<>> index_;
 };
 
--- a/src/net/outbox.cpp
+++ b/src/net/outbox.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-Outbox::Outbox(const Names& names, Counters& counters, std::function<void(ServerId)> probe,
+Outbox::Outbox(Names& names, Counters& counters, std::function<void(ServerId)> probe,
                std::function<void(Micros)> wake)
     : names_(names), counters_(counters), probe_(std::move(probe)), wake_(std::move(wake)) {}
 
@@ -122,6 +122,17 @@
         if (everyProxy || held.concerned()) held.mark = number;
 }
 
+bool Outbox::forget(ServerId server) {
+    withdrawn_.erase(server);
+    for (auto& [id, held] : held_) {
+        held.shut.erase(server);
+        for (auto* now : {&held.shutNow, &held.letNow}) now->erase(server);
+        for (auto& [table, part] : held.parts) part.lines.erase(server);
+    }
+    names_.forget(server);
+    return true;
+}
+
 void Outbox::log(std::string_view line) { spdlog::info("planner: {}", line); }
 
 void Outbox::flush() {
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -19,7 +19,7 @@
 
 class Outbox final : public OrderSink {
 public:
-    Outbox(const Names& names, Counters& counters, std::function<void(ServerId)> probe,
+    Outbox(Names& names, Counters& counters, std::function<void(ServerId)> probe,
            std::function<void(Micros)> wake);
 
     /// A stream of the proxy is up; whatever one it had before is not its own any more. True if it had one.
@@ -41,6 +41,8 @@
     void followList() override {} // the list is always followed
     void wakeAfter(Micros span) override { wake_(span); }
     void log(std::string_view line) override;
+    /// A binding lets back what its stream was not told of, so nothing need be known of who has ended.
+    bool forget(ServerId server) override;
 
 private:
     struct Held { // of one stream
@@ -68,7 +70,7 @@
     void resync(Held& held);
     ProductSet every() const { return static_cast<ProductSet>((1U << names_.products()) - 1); }
 
-    const Names& names_;
+    Names& names_;
     Counters& counters_;
     std::function<void(ServerId)> probe_;
     std::function<void(Micros)> wake_;
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -51,7 +51,7 @@
     intake_.probed(server, seen.status, delay, seen.body);
 }
 
-asio::awaitable<Prober::Found> Prober::ask(const std::string& address) {
+asio::awaitable<Prober::Found> Prober::ask(std::string address) {
     const auto at = parseAddress(address);
     asio::ip::tcp::socket socket(io_);
     if (!at || co_await connectTo(socket, *at, connectMost_)) co_return Found{ProbeStatus::Unreachable, {}};
--- a/src/net/prober.h
+++ b/src/net/prober.h
@@ -22,7 +22,7 @@
         std::string body;
     };
     boost::asio::awaitable<void> run(ServerId server);
-    boost::asio::awaitable<Found> ask(const std::string& address);
+    boost::asio::awaitable<Found> ask(std::string address);
 
     boost::asio::io_context& io_;
     const Names& names_;
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -1,7 +1,6 @@
 // The decision module: which servers each forwarder's tables name, and when orders go out.
 //
-// Callers: makePlanner(), then begin(now), inputs and decide() a batch; orders go to the OrderSink. The
-// interface is planner.h. No wire, clock, I/O or globals.
+// Callers: makePlanner(), then begin(now), inputs, decide() a batch; orders go to an OrderSink (planner.h).
 // The ordinary path is the design (docs/design.md): listed weights minus withdrawn servers, gathered over a
 // window, merged into differences, checked against a ledger, sent in rounds, add before shrink.
 // Beside the design stand six mechanisms:
@@ -27,36 +26,32 @@
 using namespace std::chrono_literals;
 
 // Tuned values; the design's own starting values come first.
-constexpr Micros kWindow = 500ms, kRoundMost = 2s; // changes gather; a round ends, marks or not
-constexpr double kHeadroom = 1.2;                  // ledger capacity over listed share of heard usage
-constexpr int kRungs = 5, kGoodProbes = 2;         // a server rises by fifths; returns after so many
-constexpr Micros kBeat = 100ms;                    // how often an idle planner looks at its clock
-constexpr double kColdLean = 1.25;                 // how far a rung may lead the slowest warming
+constexpr Micros kWindow = 500ms, kRoundMost = 2s;  // changes gather; a round ends, marks or not
+constexpr double kHeadroom = 1.2, kColdLean = 1.25; // capacity over listed share; lead over slowest warming
+constexpr int kRungs = 5, kGoodProbes = 2;          // a server rises by fifths; returns after so many
+constexpr Micros kBeat = 100ms, kEndedLong = 30s;   // how often an idle planner looks; no old table is older
 constexpr double kFallPart = 0.75; // part of the falling multiple that a cold server is brought
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
-constexpr double kOldLines = 2; // old tables are taken to name a server so many times the average
-constexpr double kWorn = 0.25;  // old tables are in need where this part of a zone is withdrawn
+constexpr double kOldLines = 2, kWorn = 0.25;   // old tables: naming a server over the average; out: in need
 constexpr Micros kForgotten = 10s, kUnasked = 2s; // unanswered messages have left; so if none is to answer
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3, kPressedFade = 0.5; // what a second leaves of each
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
 constexpr double kSickTries = 3, kHangShare = 0.9;   // tries to judge by; here a quick probe proves nothing
 constexpr double kDoubtPart = 0.34;                  // health shuts out at most this part of the weight
-constexpr double kSilenceViews = 3,
-                 kSilenceTries = 10; // views without a server, with so many tries to expect
+constexpr double kSilenceViews = 3, kSilenceTries = 10; // views without a server, tries to expect meanwhile
 constexpr Micros kProbeEvery = 1s, kHoldLeast = 3s, kEaseLeast = 60s; // a server stays out, or a fifth lower
-constexpr double kSlowPart = 0.4,
-                 kWellPart = 0.33;               // part of its tries that fail or are late; the rest is well
+constexpr double kSlowPart = 0.4, kWellPart = 0.33; // part of tries that fail or are late; part that is well
 constexpr double kSlowProbe = 0.5, kHeavy = 2;   // part of the least SLA time; times the usual that it holds
 constexpr Micros kSettle = 3s, kOnset = 3s;      // before new doubts; until limits show in the sums
 constexpr double kLateFrom = 0.4, kLateTo = 1.0; // mean delay, of the usual SLA time: none late, all late
 constexpr double kOnsetStress = 0.2, kNearlyWarm = 0.75; // above it one less warm waits at none for that long
-constexpr double kStressHigh = 0.3;                      // share of tries that fail or are late: limits begin
-constexpr double kStressAim = 0.12, kJump = 1.2; // what they aim at; above it, if so much over the best comes
+constexpr double kStressHigh = 0.3, kStressAim = 0.12, kJump = 1.2;   // limits begin; aim; if over the best
 constexpr double kGainStep = 0.5, kGainDown = 0.1, kGainUp = 0.06;    // moves a second for the stress, bounds
 constexpr double kGainFirst = 0.85, kGainLeast = 0.5, kGainTop = 1.3; // at the onset; bounds
-constexpr double kBestFade = 0.995, kProductFloor = 0.1; // left of the best a period; the least let in
-constexpr double kLevelStep = 0.02, kNoLimit = 1e6;      // less isn't worth a line; a rate without limit
+constexpr double kBestFade = 0.995, kProductFloor = 0.1,
+                 kCovered = 0.8;                    // left a period; least let in; part heard
+constexpr double kLevelStep = 0.02, kNoLimit = 1e6; // less isn't worth a line; a rate without limit
 
 std::string text(double value) { return std::to_string(value).substr(0, 6); }
 
@@ -101,7 +96,7 @@
     std::mt19937 chance;
     Micros judgedAt{}, calmAt{};
     bool sumsCame = false;
-    double settled = 0, settledRate = 0, stress = 0;
+    double settled = 0, settledRate = 0, triedRate = 0, triedBefore = 0, stress = 0;
     std::set<ZoneId> zonesHeard = {};
     double lines = 0, tried = 0; // heard of all servers
 
@@ -141,10 +136,9 @@
     std::optional<double> judge(double usualSla, Micros now) {
         if (!sumsCame || now - judgedAt < fleet.sumsPeriod * 9 / 10) return {};
         const double span = seconds(std::max(judgedAt > 0us ? now - judgedAt : 0us, fleet.sumsPeriod));
-        settledRate = settled / span;
-        sumsCame = false;
-        judgedAt = now;
-        settled = 0;
+        settledRate = std::exchange(settled, 0) / span;
+        triedRate = (tried - std::exchange(triedBefore, tried)) / span;
+        sumsCame = false, judgedAt = now;
         double tries = 0;
         std::vector<std::pair<double, double>> pressed, jammed; // part that fails or is late, and the weight
         for (Index s = 0; s < servers.size(); ++s) {
@@ -164,7 +158,7 @@
         const double jam = reached(jammed, 0.5), least = reached(pressed, kWellPart);
         if (stress <= kOnsetStress) calmAt = now;
         const double all = targetsOf(servers);
-        const auto view = static_cast<double>(servers.size() * zonesHeard.size());
+        const auto view = static_cast<double>(servers.known() * zonesHeard.size());
         for (Index s = 0; s < servers.size(); ++s) {
             if (servers.serves(s)) {
                 const double share = servers.failing(s);
@@ -269,6 +263,7 @@
         if ((row->next == ShutOut) != (servers.duty[s] == ShutOut))
             sink.log((row->next == ShutOut ? "out: " : "back: ") + std::to_string(s) + ", tries " +
                      text(servers.tries[s]) + ", failed " + text(servers.unanswered[s]));
+        if (row->next == Ended && servers.duty[s] != Ended) servers.changedAt[s] = now;
         servers.duty[s] = row->next;
         switch (row->effect) {
         case Nothing: return;
@@ -368,9 +363,9 @@
 
     const std::vector<ProductTerms> products;
     std::vector<double> pass = std::vector<double>(products.size(), 1); // by product: the share let in
-    bool limited = false;
-    Micros blind{};            // no moves until this has passed
-    double gain = 1, best = 0; // the part of the best settled work for its weight that is let in
+    bool limited = false, covered = false; // covered: the sums have told of nearly all that is let in
+    Micros blind{};                        // no moves until this has passed
+    double gain = 1, best = 0;             // the part of the best settled work for its weight that is let in
 
     /// The mean SLA time of what comes.
     double usualSla(const Proxies& proxies) const {
@@ -389,7 +384,7 @@
     /// The whole fleet fails or is late: no more is let in than the best that it has settled for its weight,
     /// more or less by what is seen since; first the product with least revenue for its SLA time gives way.
     /// Guards against any jam: too many txns, dearer txns, lost servers. Harms if half the fleet is slow.
-    void stressed(double stress, double settled, double weight, const Proxies& proxies) {
+    void stressed(double stress, double tried, double settled, double weight, const Proxies& proxies) {
         const std::vector<double> came = usageOf(proxies, products.size());
         double passed = 0, work = 0, wanted = 0, spare = 0;
         for (Index p = 0; p < products.size(); ++p) {
@@ -400,7 +395,10 @@
         if (passed <= 0 || weight <= 0) return;
         best = std::max(best * kBestFade, settled * work / passed / weight);
         const bool before = limited;
-        if (!limited && (stress > kStressHigh || (stress > kStressAim && wanted > kJump * best * weight))) {
+        // Guards against a best of next to nothing just after a start, when sums tell of few proxies.
+        covered = covered || tried >= kCovered * passed;
+        if (!limited && covered &&
+            (stress > kStressHigh || (stress > kStressAim && wanted > kJump * best * weight))) {
             gain = kGainFirst * std::min(1.0, wanted / (best * weight));
             blind = kOnset;
             limited = true;
@@ -472,6 +470,12 @@
         // Those who joined since may hold ended servers, and hundreds can't be bound within the grace.
         const bool again = newcomers && now - againAt >= kWindow;
         for (Index s = 0; s < servers.size(); ++s) {
+            // Guards against growth, and lines for each that joins: no old table is as old as its end.
+            const bool past = servers.duty[s] == Ended && servers.withdrawn[s] && !servers.forgotten[s] &&
+                              now - servers.changedAt[s] > kEndedLong;
+            const auto free = [&](const Table& table) { return table.standing[s] <= 0; };
+            if (past && std::ranges::all_of(tables, free) && sink.forget(servers.id[s])) servers.forget(s);
+            if (servers.forgotten[s]) continue;
             if (again && servers.withdrawn[s] && channel.room() >= each) withdraw(s, true);
             const bool out = !servers.serves(s) && !servers.withdrawn[s];
             const bool lowered = health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs);
@@ -525,7 +529,7 @@
     void withdraw(Index s, bool out) {
         sink.withdraw(servers.id[s], out);
         servers.withdrawn[s] = out;
-        const double named = kOldLines * channel.standingLines / static_cast<double>(servers.size());
+        const double named = kOldLines * channel.standingLines / static_cast<double>(servers.known());
         channel.outbox.chargeOld(std::min(1.0, named));
     }
     void line(Table& table, Index s) {
@@ -542,8 +546,7 @@
     };
     /// One step of a round: releases, then the changes that fit, ranked by the servers that they free.
     void step(Micros now) {
-        sentAt = now;
-        mark = {};
+        sentAt = now, mark = {};
         const Index n = servers.size();
         std::vector<double> capacity(n, 0), load(n, 0);
         std::vector<Node> nodes;
@@ -566,8 +569,7 @@
         bool sent = false;
         const auto go = [&](const Node& node, Index s) {
             if (channel.spare(kBatch) <= 0) return;
-            line(*node.table, s);
-            sent = true;
+            line(*node.table, s), sent = true;
         };
         for (const auto& node : nodes) // releases; a table that serves nobody and the dead skip the fit check
             for (const Index s : node.downs)
@@ -637,10 +639,8 @@
 
     void begin(Micros now) override { now_ = now; }
     void list(ListNews news, std::span<const ListedServer> entries) override {
-        if (news == ListNews::Failed)
-            mustFollow_ = true;
-        else
-            health_.list(news != ListNews::Changes, entries, now_);
+        mustFollow_ |= news == ListNews::Failed;
+        if (news != ListNews::Failed) health_.list(news != ListNews::Changes, entries, now_);
     }
     void joined(ProxyId id, ZoneId zone, double usualRate, bool onlyStanding) override {
         const Index products = levels_.products.size();
@@ -669,7 +669,7 @@
         awake_ = true;
         if (std::exchange(mustFollow_, false)) sink_.followList();
         if (const auto stress = health_.judge(levels_.usualSla(proxies_), now_))
-            levels_.stressed(*stress, health_.settledRate, targetsOf(servers_), proxies_);
+            levels_.stressed(*stress, health_.triedRate, health_.settledRate, targetsOf(servers_), proxies_);
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.phase == Phase::Idle || rounds_.answered(now_), now_);
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -140,6 +140,9 @@
     virtual void followList() = 0;
     virtual void wakeAfter(Micros span) = 0;
     virtual void log(std::string_view line) = 0;
+    /// The planner would know nothing more of a server that has ended. False: withdrawals can't be taken back
+    /// for a server that is named anew, so it has to remember.
+    virtual bool forget(ServerId) { return false; }
 };
 
 class Planner {
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -45,31 +45,46 @@
 
 enum class Duty { Ended, Serving, Suspect, Missed, ShutOut, Any };
 
-/// Figures on servers in parallel arrays under a dense index; an index is never given to another server.
+/// Figures on servers in parallel arrays under a dense index. That of a server that is forgotten goes to the
+/// next new one; what comes late for the old one finds no index by its id.
 struct Servers {
     std::map<ServerId, Index> index;
+    std::vector<Index> spare; // of servers that are forgotten: ended, and in no table
     std::vector<ServerId> id;
     std::vector<ZoneId> zone;
     std::vector<Duty> duty;
     std::vector<Micros> startedAt, probeDue, heldUntil, changedAt;
     std::vector<int> rung, goodProbes;
-    std::vector<char> withdrawn, probing, heard, eased; // withdrawn: ordered out of all tables
+    std::vector<char> withdrawn, probing, heard, eased, forgotten; // withdrawn: ordered out of all tables
     std::vector<double> listed, tries, unanswered, delay, pressed, load, linesThen, triedThen;
 
     Index size() const { return id.size(); }
     Index add(const ListedServer& entry) {
-        const auto [at, fresh] = index.emplace(entry.id, size());
+        const Index next = spare.empty() ? size() : spare.back();
+        const auto [at, fresh] = index.emplace(entry.id, next);
         if (!fresh) return at->second;
-        id.push_back(entry.id);
-        zone.push_back(entry.zone);
-        duty.push_back(Duty::Ended);
-        for (auto* one : {&startedAt, &probeDue, &heldUntil, &changedAt}) one->push_back(Micros{});
-        for (auto* one : {&rung, &goodProbes}) one->push_back(0);
-        for (auto* one : {&withdrawn, &probing, &heard, &eased}) one->push_back(0);
+        const auto put = [next](auto& figures, auto value) {
+            if (next == figures.size()) figures.emplace_back();
+            figures[next] = value;
+        };
+        if (next < size()) spare.pop_back();
+        put(zone, entry.zone);
+        put(duty, Duty::Ended);
+        for (auto* one : {&startedAt, &probeDue, &heldUntil, &changedAt}) put(*one, Micros{});
+        for (auto* one : {&rung, &goodProbes}) put(*one, 0);
+        for (auto* one : {&withdrawn, &probing, &heard, &eased, &forgotten}) put(*one, char{0});
         for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load, &linesThen, &triedThen})
-            one->push_back(0);
-        return at->second;
+            put(*one, 0.0);
+        put(id, entry.id);
+        return next;
     }
+    void forget(Index s) {
+        index.erase(id[s]);
+        spare.push_back(s);
+        forgotten[s] = 1;
+        withdrawn[s] = 0;
+    }
+    Index known() const { return index.size(); }
     const Index* find(ServerId server) const {
         const auto found = index.find(server);
         return found == index.end() ? nullptr : &found->second;
@@ -83,7 +98,7 @@
     double outShare(ZoneId of) const { ///< the part of a zone's servers that is withdrawn
         double out = 0, all = 0;
         for (Index s = 0; s < size(); ++s)
-            if (zone[s] == of) all += 1, out += withdrawn[s];
+            if (zone[s] == of && !forgotten[s]) all += 1, out += withdrawn[s];
         return all > 0 ? out / all : 0;
     }
     bool serves(Index s) const {
