--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -105,7 +105,8 @@
     const auto name = message.find("class");
     const auto tries = message.count("tries", kTxnsMost), failed = message.count("failed", kTxnsMost);
     const auto span = spanOf(message, "span_ms");
-    if (!proxy || (stream && *stream != *proxy) || !name || !tries || !failed || *failed > *tries || !span)
+    if (!proxy || (stream && *stream != *proxy) || !name || !tries || !failed ||
+        !span) // failed: of earlier tries too
         return counters_.passedOver(Count::BadField, "demand");
     const auto product = names_.product(*name);
     if (!product) return counters_.passedOver(Count::BadName, *name);
