--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -35,6 +35,7 @@
     using Happenings = std::vector<std::tuple<int, std::uint16_t, int>>;
     const bool held = rc::check("the five rules hold after every step", [&] {
         World world;
+        world.forgets = *rc::gen::element(false, true);
         world.channel.messagesMost = *rc::gen::element(0U, 30U);
         world.forwarders.throttle = *rc::gen::element(Throttle::Share, Throttle::Rate, Throttle::None);
         for (std::uint64_t s = 0; s < 12; ++s) world.server(s, 1 + static_cast<double>(s % 3), s % 2);
@@ -104,6 +105,30 @@
     EXPECT_TRUE(world->withdrawn.contains({3}));
 }
 
+/// Each joiner was told of every server that had ever ended, and what was kept of them grew for good.
+TEST(Rounds, WhatEndedLongAgoIsForgottenAndItsPlaceServesAnother) {
+    const auto world = settled(4);
+    world->forgets = true;
+    world->news(3, ListedState::Gone);
+    world->pass(20s);
+    EXPECT_TRUE(world->withdrawn.contains({3})); // an old table may name it still
+    world->pass(15s);
+    EXPECT_FALSE(world->withdrawn.contains({3}));
+    world->news(9, ListedState::Ready, 0us);
+    world->batch([&] { // late news of the one before is not the new one's
+        world->planner->sums({{3}, {0}, 100, 100, 0us, 1s, {}});
+        world->planner->probed({{3}, ProbeStatus::Unreachable, 0us, {}});
+    });
+    for (int k = 0; k < 10; ++k) world->sums(20, well), world->pass(1s);
+    EXPECT_EQ(weightOf(*world, 9), 1);
+    world->news(3, ListedState::Ready);
+    for (int k = 0; k < 10; ++k) world->sums(20, well), world->pass(1s);
+    EXPECT_EQ(weightOf(*world, 3), 1);
+    EXPECT_EQ(world->tables[{0}].size(), 5U);
+    for (const auto& [id, held] : world->proxies) EXPECT_FALSE(held.out.contains({3}));
+    EXPECT_TRUE(world->broken.empty());
+}
+
 TEST(Rounds, ANewServerRisesByFifthsAndNoFasterThanItWarms) {
     const auto world = settled(6);
     world->news(9, ListedState::Ready, world->now);
@@ -270,6 +295,18 @@
     EXPECT_DOUBLE_EQ(world->levels.back().second, 1);
 }
 
+/// After a restart the first sums told of few proxies; limits held to that for the rest of the day.
+TEST(Levels, NothingIsLimitedWhileSumsTellOfFewOfTheTxns) {
+    World world;
+    for (std::uint64_t s = 1; s <= 6; ++s) world.server(s);
+    world.start();
+    for (std::uint16_t p = 0; p < 4; ++p) world.join(p, p % 2, 40, {{1}, {2}});
+    const auto slow = [](auto) { return Micros(3s); };
+    for (int k = 0; k < 4; ++k) world.sums(3, well, slow), world.pass(1s);
+    for (const auto& one : world.levels) EXPECT_EQ(one.second, 1);
+    for (int k = 0; k < 4; ++k) world.sums(20, well, slow), world.pass(1s);
+    EXPECT_LT(world.levels.back().second, 1);
+}
 TEST(Levels, LostAnswersBesideQuickOnesLimitNothing) {
     const auto world = settled(6);
     for (int k = 0; k < 4; ++k) world->sums(20, [](auto) { return 0.4; }), world->pass(1s);
