--- a/src/net/names.h
+++ b/src/net/names.h
@@ -47,7 +47,6 @@
         const auto at = servers_.find(id);
         return at == servers_.end() ? std::string{} : at->second.address;
     }
-    std::size_t servers() const { return servers_.size(); }
     const std::string& of(ProductId id) const { return products_[id.value]; }
     std::size_t products() const { return products_.size(); }
 
