--- a/src/net/discovery_driver.cpp
+++ b/src/discovery/discovery_driver.cpp
@@ -1,4 +1,4 @@
-#include "net/discovery_driver.h"
+#include "discovery/discovery_driver.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/src/net/discovery_driver.h
+++ b/src/discovery/discovery_driver.h
@@ -10,8 +10,8 @@
 #include <cstdint>
 #include <string>
 
+#include "discovery/discovery_watch.h"
 #include "net/buffer_pool.h"
-#include "net/discovery_watch.h"
 
 namespace zincstack::net {
 
--- a/src/net/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -1,4 +1,4 @@
-#include "net/discovery_watch.h"
+#include "discovery/discovery_watch.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/net/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <string_view>
 
-#include "net/counters.h"
-#include "net/http_response.h"
-#include "net/json.h"
+#include "http/http_response.h"
+#include "metrics/counters.h"
 #include "planner/planner.h"
+#include "json/json.h"
 
 namespace zincstack::net {
 
--- a/src/net/engine.cpp
+++ b/src/engine/engine.cpp
@@ -1,4 +1,4 @@
-#include "net/engine.h"
+#include "engine/engine.h"
 
 #include <boost/asio/post.hpp>
 
--- a/src/net/engine.h
+++ b/src/engine/engine.h
@@ -7,9 +7,9 @@
 
 #include <chrono>
 
-#include "net/counters.h"
-#include "net/outbox.h"
+#include "metrics/counters.h"
 #include "planner/planner.h"
+#include "platform/outbox.h"
 
 namespace zincstack::net {
 
--- a/src/net/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -1,4 +1,4 @@
-#include "net/http_response.h"
+#include "http/http_response.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/net/json.cpp
+++ b/src/json/json.cpp
@@ -1,4 +1,4 @@
-#include "net/json.h"
+#include "json/json.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,14 +10,14 @@
 #include <csignal>
 #include <exception>
 
+#include "discovery/discovery_driver.h"
+#include "engine/engine.h"
 #include "net/address.h"
-#include "net/discovery_driver.h"
-#include "net/engine.h"
-#include "net/intake.h"
-#include "net/listener.h"
-#include "net/prober.h"
 #include "net/shares.h"
-#include "net/station.h"
+#include "platform/intake.h"
+#include "platform/listener.h"
+#include "platform/prober.h"
+#include "terms/station.h"
 
 namespace {
 
--- a/src/net/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -1,4 +1,4 @@
-#include "net/counters.h"
+#include "metrics/counters.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/net/connection.cpp
+++ b/src/platform/connection.cpp
@@ -1,4 +1,4 @@
-#include "net/connection.h"
+#include "platform/connection.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/net/connection.h
+++ b/src/platform/connection.h
@@ -10,11 +10,11 @@
 #include <memory>
 #include <string_view>
 
+#include "metrics/counters.h"
 #include "net/buffer_pool.h"
-#include "net/counters.h"
-#include "net/intake.h"
-#include "net/peer_session.h"
-#include "net/push_target.h"
+#include "platform/intake.h"
+#include "platform/peer_session.h"
+#include "platform/push_target.h"
 
 namespace zincstack::net {
 
--- a/src/net/intake.cpp
+++ b/src/platform/intake.cpp
@@ -1,4 +1,4 @@
-#include "net/intake.h"
+#include "platform/intake.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/net/intake.h
+++ b/src/platform/intake.h
@@ -5,12 +5,12 @@
 #include <string_view>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/engine.h"
-#include "net/json.h"
-#include "net/message.h"
-#include "net/names.h"
-#include "net/outbox.h"
+#include "engine/engine.h"
+#include "metrics/counters.h"
+#include "orders/names.h"
+#include "platform/message.h"
+#include "platform/outbox.h"
+#include "json/json.h"
 
 namespace zincstack::net {
 
--- a/src/net/listener.cpp
+++ b/src/platform/listener.cpp
@@ -1,4 +1,4 @@
-#include "net/listener.h"
+#include "platform/listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/src/net/listener.h
+++ b/src/platform/listener.h
@@ -14,10 +14,10 @@
 #include <utility>
 #include <vector>
 
+#include "metrics/counters.h"
 #include "net/buffer_pool.h"
-#include "net/connection.h"
-#include "net/counters.h"
-#include "net/intake.h"
+#include "platform/connection.h"
+#include "platform/intake.h"
 
 namespace zincstack::net {
 
--- a/src/net/message.cpp
+++ b/src/platform/message.cpp
@@ -1,4 +1,4 @@
-#include "net/message.h"
+#include "platform/message.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -1,4 +1,4 @@
-#include "net/outbox.h"
+#include "platform/outbox.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/net/outbox.h
+++ b/src/platform/outbox.h
@@ -9,11 +9,11 @@
 #include <set>
 #include <string_view>
 
-#include "net/counters.h"
-#include "net/names.h"
-#include "net/push_target.h"
-#include "net/push_writer.h"
+#include "metrics/counters.h"
+#include "orders/names.h"
 #include "planner/planner.h"
+#include "platform/push_target.h"
+#include "platform/push_writer.h"
 
 namespace zincstack::net {
 
--- a/src/net/peer_session.cpp
+++ b/src/platform/peer_session.cpp
@@ -1,4 +1,4 @@
-#include "net/peer_session.h"
+#include "platform/peer_session.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/net/peer_session.h
+++ b/src/platform/peer_session.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <string_view>
 
-#include "net/counters.h"
-#include "net/intake.h"
+#include "metrics/counters.h"
 #include "net/line_framer.h"
-#include "net/push_target.h"
+#include "platform/intake.h"
+#include "platform/push_target.h"
 
 namespace zincstack::net {
 
--- a/src/net/prober.cpp
+++ b/src/platform/prober.cpp
@@ -1,4 +1,4 @@
-#include "net/prober.h"
+#include "platform/prober.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -6,10 +6,10 @@
 #include <chrono>
 #include <utility>
 
+#include "http/http_response.h"
 #include "net/address.h"
 #include "net/client.h"
 #include "net/fatal.h"
-#include "net/http_response.h"
 #include "net/within.h"
 
 namespace zincstack::net {
--- a/src/net/prober.h
+++ b/src/platform/prober.h
@@ -5,8 +5,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "net/buffer_pool.h"
-#include "net/intake.h"
-#include "net/names.h"
+#include "orders/names.h"
+#include "platform/intake.h"
 
 namespace zincstack::net {
 
--- a/src/net/push_writer.cpp
+++ b/src/platform/push_writer.cpp
@@ -1,4 +1,4 @@
-#include "net/push_writer.h"
+#include "platform/push_writer.h"
 
 #include <array>
 #include <charconv>
--- a/src/net/push_writer.h
+++ b/src/platform/push_writer.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/names.h"
+#include "metrics/counters.h"
+#include "orders/names.h"
 
 namespace zincstack::net {
 
--- a/src/net/station.cpp
+++ b/src/terms/station.cpp
@@ -1,4 +1,4 @@
-#include "net/station.h"
+#include "terms/station.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/station.h
+++ b/src/terms/station.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
-#include "net/json.h"
 #include "terms/start_terms.h"
+#include "json/json.h"
 
 namespace zincstack::net {
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -11,12 +11,12 @@
 #include <algorithm>
 #include <memory>
 
-#include "net/discovery_watch.h"
-#include "net/listener.h"
-#include "net/peer_session.h"
-#include "net/prober.h"
+#include "discovery/discovery_watch.h"
 #include "net/shares.h"
-#include "net/station.h"
+#include "platform/listener.h"
+#include "platform/peer_session.h"
+#include "platform/prober.h"
+#include "terms/station.h"
 
 namespace zincstack::net {
 namespace {
