The order book, lifted out of Outbox: one place for tables, members and marks of all fronts

A second front needs the tables as ordered, who is bound and what is on its way; Outbox kept all three for the platform alone. OrderBook takes the planner's orders and tells each Front; a proxy's newest stream wins across fronts.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-Engine::Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters, Micros tick)
-    : io_(io), planner_(planner), outbox_(outbox), counters_(counters), quiet_(kQuietTicks * tick),
+Engine::Engine(boost::asio::io_context& io, Planner& planner, orders::OrderBook& book, Counters& counters,
+               Micros tick)
+    : io_(io), planner_(planner), book_(book), counters_(counters), quiet_(kQuietTicks * tick),
       most_(kMostTicks * tick), gathered_(io), wake_(io) {}
 
 Planner& Engine::input() {
@@ -61,7 +62,7 @@
     if (now - openedAt_ > most_ + kLate) counters_.add(Count::LateBatches);
     planner_.begin(now);
     planner_.decide();
-    outbox_.flush();
+    book_.flush();
 }
 
 void Engine::wakeAfter(Micros span) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -8,8 +8,8 @@
 #include <chrono>
 
 #include "metrics/counters.h"
+#include "orders/order_book.h"
 #include "planner/planner.h"
-#include "platform/outbox.h"
 
 namespace zincstack::net {
 
@@ -28,7 +28,8 @@
 
 class Engine {
 public:
-    Engine(boost::asio::io_context& io, Planner& planner, Outbox& outbox, Counters& counters, Micros tick);
+    Engine(boost::asio::io_context& io, Planner& planner, orders::OrderBook& book, Counters& counters,
+           Micros tick);
 
     /// The planner, in a batch that is open from now on and is decided once nothing more comes.
     Planner& input();
@@ -40,7 +41,7 @@
 
     boost::asio::io_context& io_;
     Planner& planner_;
-    Outbox& outbox_;
+    orders::OrderBook& book_;
     Counters& counters_;
     const Micros quiet_, most_;
     const Clock clock_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,9 +13,10 @@
 #include "discovery/discovery_driver.h"
 #include "engine/engine.h"
 #include "net/address.h"
+#include "net/listener.h"
 #include "net/shares.h"
+#include "platform/door.h"
 #include "platform/intake.h"
-#include "platform/listener.h"
 #include "platform/prober.h"
 #include "terms/station.h"
 
@@ -62,34 +63,38 @@
     net::Names names(start.productNames, start.zoneNames);
     net::Engine* wakes = nullptr;
     net::Prober* probes = nullptr;
-    net::Outbox outbox(
+    orders::OrderBook book(
         names, counters, [&](ServerId server) { probes->probe(server); },
         [&](Micros span) { wakes->wakeAfter(span); });
+    net::Outbox outbox(book, names, counters);
     const auto planner = makePlanner(station.seed, start.fleet, start.forwarders, start.channel, start.guards,
-                                     start.products, outbox);
-    net::Engine engine(io, *planner, outbox, counters, start.tick);
+                                     start.products, book);
+    net::Engine engine(io, *planner, book, counters, start.tick);
     wakes = &engine;
-    net::Intake intake(engine, outbox, names, counters, start.forwarders.count);
+    net::Intake intake(engine, book, outbox, names, counters, start.forwarders.count);
     net::Prober prober(io, names, intake, counters, lines, shares.probes, start.connectTimeout,
                        !start.reportColumns.empty());
     probes = &prober;
-    net::Listener listener(io, listen, shares.peers, intake, counters, lines, pushes);
+    net::Door door(intake, counters, lines);
+    const auto listener = std::make_shared<net::Listener>(
+        io, listen, shares.peers, net::Door::kQueueBytesMost, counters, lines, pushes,
+        [&](net::Connection& connection) { return door.peer(connection); });
     net::DiscoveryWatch watch(
         station.discovery,
         [&](ListNews news, const net::Json& members) {
             const bool used = intake.list(news, members);
-            if (used) listener.serve();
+            if (used) door.serve();
             return used;
         },
         counters, shares.listBytes);
     net::DiscoveryDriver driver(io, discovery, watch, lines);
 
     if (const auto* members = station.known.find("members")) intake.list(ListNews::Cached, *members);
-    listener.start();
+    listener->start();
     driver.start();
     asio::steady_timer first(io, kFirstListMost);
     first.async_wait([&](const boost::system::error_code& error) {
-        if (!error) listener.serve();
+        if (!error) door.serve();
     });
     onEach(end, [&] { io.stop(); });
     onEach(ask, [&] { spdlog::info("counters: {}", counters.text()); });
@@ -101,7 +106,7 @@
             spdlog::info("reload: discovery at {}", anew.discovery);
         } catch (const Malformed& error) { counters.passedOver(net::Count::ReloadsFailed, error.what()); }
     });
-    const auto at = listener.address();
+    const auto at = listener->address();
     spdlog::info("{} listens on {}:{}, {} products, {} zones, {} proxies, room for {} peers, {} probes",
                  station.name, at.address().to_string(), at.port(), start.products.size(),
                  start.zoneNames.size(), start.forwarders.count, shares.peers, shares.probes);
--- a/src/platform/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/connection.h"
+#include "net/connection.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -18,26 +18,25 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::string_view kRefusal = "error reason=refused\r\n";
-constexpr std::size_t kQueueBytesMost = 256 * 1024; // that wait for one slow reader
-constexpr int kReadsATurn = 16;                     // before others get their turn
+constexpr int kReadsATurn = 16; // before others get their turn
 
 } // namespace
 
-Connection::Connection(asio::ip::tcp::socket socket, Intake& intake, Counters& counters, BufferPool& lines,
-                       BufferPool& pushes, const BufferPool::Lease& readInto, const Alive& alive)
+Connection::Connection(asio::ip::tcp::socket socket, Counters& counters, BufferPool& pushes,
+                       const BufferPool::Lease& readInto, std::size_t queueMost)
     : socket_(std::move(socket)), counters_(counters), pushes_(pushes), readInto_(readInto),
-      session_(intake, counters, lines, *this, [this, alive] { alive(*this); }) {
+      queueMost_(queueMost) {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
 }
 
-void Connection::start(std::function<void()> over) {
+void Connection::start(std::unique_ptr<Peer> peer, std::function<void()> over) {
+    peer_ = std::move(peer);
     asio::co_spawn(socket_.get_executor(), read(),
                    [self = shared_from_this(), over = std::move(over)](const std::exception_ptr& failure) {
                        self->close();
-                       self->session_.ended();
+                       self->peer_->ended();
                        self->counters_.add(Count::Closed);
                        over();
                        if (failure) std::rethrow_exception(failure);
@@ -51,13 +50,14 @@
 
 /// Guards against a stall in which the time passed while the joining already waited on the socket.
 void Connection::joinNow() {
-    if (!takeIn(1) || !session_.mayStay()) end();
+    if (!takeIn(1) || !peer_->mayStay()) end();
 }
 
-/// A peer that never joined is told so; it may not read, so no more than the socket takes is written.
+/// The peer may not read, so no more than the socket takes is written.
 void Connection::end() {
     error_code ignored;
-    if (socket_.is_open() && session_.refused()) socket_.write_some(asio::buffer(kRefusal), ignored);
+    const auto words = peer_->lastWords();
+    if (socket_.is_open() && !words.empty()) socket_.write_some(asio::buffer(words), ignored);
     close();
 }
 
@@ -77,43 +77,58 @@
     for (std::size_t got = kBlockBytes; turns > 0 && got == kBlockBytes; --turns) {
         got = socket_.read_some(asio::buffer(readInto_.data(), kBlockBytes), error);
         if (error == asio::error::would_block || error == asio::error::try_again) break;
-        if (error || !session_.feed({readInto_.data(), got})) return false;
+        if (error || !peer_->feed({readInto_.data(), got})) return false;
     }
     return true;
 }
 
 bool Connection::push(std::string_view bytes) {
     if (!socket_.is_open()) return true; // it has ended: nobody is left to read
-    if (queued_ > kQueueBytesMost) return false;
-    const std::size_t fill = (head_ + queued_) % kBlockBytes;
-    const std::size_t room = queue_.empty() || fill == 0 ? 0 : kBlockBytes - fill;
-    std::deque<BufferPool::Lease> more;
+    if (queued_ > queueMost_) return false;
+    const bool joins = !queue_.empty() && queue_.back().block;
+    const std::size_t room = joins ? kBlockBytes - queue_.back().size : 0;
+    std::deque<Piece> more;
     for (std::size_t have = room; have < bytes.size(); have += kBlockBytes) {
-        more.push_back(pushes_.take());
-        if (!more.back()) return false;
+        more.push_back({pushes_.take(), {}, 0});
+        if (!more.back().block) return false;
     }
-    while (!bytes.empty()) {
-        const std::size_t at = (head_ + queued_) % kBlockBytes;
-        if (at == 0 || queue_.empty()) {
-            queue_.push_back(std::move(more.front()));
-            more.pop_front();
-        }
-        const std::size_t part = std::min(bytes.size(), kBlockBytes - at);
-        std::memcpy(queue_.back().data() + at, bytes.data(), part);
+    const std::size_t all = bytes.size();
+    const auto fill = [&](Piece& into) {
+        const std::size_t part = std::min(bytes.size(), kBlockBytes - into.size);
+        std::memcpy(into.block.data() + into.size, bytes.data(), part);
+        into.size += part;
         bytes.remove_prefix(part);
-        queued_ += part;
+    };
+    if (joins) fill(queue_.back());
+    for (Piece& piece : more) {
+        fill(piece);
+        queue_.push_back(std::move(piece));
     }
-    if (!std::exchange(writing_, true))
+    queued(all);
+    return true;
+}
+
+bool Connection::push(SharedBytes bytes) {
+    if (!socket_.is_open()) return true;
+    if (queued_ > queueMost_) return false;
+    const std::size_t size = bytes->size();
+    queue_.push_back({{}, std::move(bytes), size});
+    queued(size);
+    return true;
+}
+
+void Connection::queued(std::size_t bytes) {
+    queued_ += bytes;
+    if (queued_ > 0 && !std::exchange(writing_, true))
         asio::co_spawn(
             socket_.get_executor(), [self = shared_from_this()] { return self->write(); }, rethrow);
-    return true;
 }
 
 asio::awaitable<void> Connection::write() {
     while (queued_ > 0) {
         error_code error;
         const std::size_t sent = co_await socket_.async_write_some(
-            asio::buffer(queue_.front().data() + head_, std::min(queued_, kBlockBytes - head_)),
+            asio::buffer(queue_.front().data() + head_, queue_.front().size - head_),
             asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             close(); // the reading side notices and ends the session
@@ -122,7 +137,8 @@
         counters_.add(Count::BytesOut, sent);
         head_ += sent;
         queued_ -= sent;
-        if (head_ == kBlockBytes || queued_ == 0) queue_.pop_front(), head_ = 0;
+        if (head_ == queue_.front().size) queue_.pop_front(), head_ = 0;
+        if (queued_ == 0 && socket_.is_open()) peer_->drained();
     }
     writing_ = false;
 }
--- a/src/platform/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,4 +1,4 @@
-#include "platform/listener.h"
+#include "net/listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -20,25 +20,26 @@
 } // namespace
 
 Listener::Listener(asio::io_context& io, const asio::ip::tcp::endpoint& at, std::size_t peersMost,
-                   Intake& intake, Counters& counters, BufferPool& lines, BufferPool& pushes)
-    : acceptor_(io, at, true), room_(io), due_(io), peersMost_(peersMost), intake_(intake),
-      counters_(counters), lines_(lines), pushes_(pushes) {}
+                   std::size_t queueMost, Counters& counters, BufferPool& lines, BufferPool& pushes,
+                   MakePeer makePeer)
+    : acceptor_(io, at, true), room_(io), due_(io), peersMost_(peersMost), queueMost_(queueMost),
+      counters_(counters), pushes_(pushes), makePeer_(std::move(makePeer)), readInto_(lines.take()) {}
 
 void Listener::start() {
-    asio::co_spawn(acceptor_.get_executor(), accept(), rethrow);
-    asio::co_spawn(acceptor_.get_executor(), watchNewcomers(), rethrow);
+    const auto run = [this](asio::awaitable<void> work) {
+        asio::co_spawn(acceptor_.get_executor(), std::move(work),
+                       [self = shared_from_this()](const std::exception_ptr& failure) { rethrow(failure); });
+    };
+    run(accept());
+    run(watchNewcomers());
 }
 
-void Listener::serve() {
-    if (std::exchange(serving_, true)) return;
-    for (const auto& one : std::exchange(asking_, {}))
-        if (const auto peer = one.lock()) alive(*peer);
-}
-
-void Listener::alive(Connection& peer) {
-    if (!serving_) return asking_.push_back(peer.weak_from_this());
-    counters_.add(Count::ProbesAnswered);
-    if (!peer.push("alive\r\n")) counters_.passedOver(Count::NoRoom, "no room for an answer");
+void Listener::stop() {
+    if (std::exchange(stopped_, true)) return;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (auto* timer : {&room_, &due_}) timer->cancel();
+    for (const auto& peer : peers_) peer->end();
 }
 
 asio::awaitable<void> Listener::sleep(asio::steady_timer& timer, Steady::time_point until) {
@@ -50,7 +51,7 @@
 /// Guards against peers that say nothing, half of something, or no more than a probe, and hold their places:
 /// each has its time to join, a shorter one where others wait. Proxies and collectors never give way.
 asio::awaitable<void> Listener::watchNewcomers() {
-    for (;;) {
+    while (!stopped_) {
         if (newcomers_.empty()) {
             co_await sleep(due_, Steady::time_point::max());
             continue;
@@ -58,7 +59,7 @@
         const auto& [since, weak] = newcomers_.front();
         const auto due = since + (full() ? Steady::duration(kJoinIfFull) : kJoinWithin);
         bool early = false;
-        if (const auto peer = weak.lock(); peer && peer->session().stranger()) {
+        if (const auto peer = weak.lock(); peer && peer->peer().stranger()) {
             early = Steady::now() < due;
             if (!early) peer->joinNow();
         }
@@ -70,7 +71,7 @@
 }
 
 asio::awaitable<void> Listener::accept() {
-    for (;;) {
+    while (!stopped_) {
         boost::system::error_code error;
         if (full()) {
             counters_.passedOver(Count::RefusedFull, "peers wait to be taken");
@@ -79,18 +80,19 @@
             continue;
         }
         auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (stopped_) co_return;
         if (error) {
             counters_.passedOver(Count::RefusedFull, error.message());
             co_await sleep(room_, Steady::now() + kPause);
             continue;
         }
         counters_.add(Count::Accepted);
-        const auto at = peers_.insert(
-            peers_.end(), std::make_shared<Connection>(std::move(socket), intake_, counters_, lines_, pushes_,
-                                                       readInto_, [this](Connection& peer) { alive(peer); }));
+        const auto at =
+            peers_.insert(peers_.end(), std::make_shared<Connection>(std::move(socket), counters_, pushes_,
+                                                                     readInto_, queueMost_));
         if (newcomers_.empty()) due_.cancel();
         newcomers_.emplace_back(Steady::now(), *at);
-        (*at)->start([this, at] {
+        (*at)->start(makePeer_(**at), [this, self = shared_from_this(), at] {
             peers_.erase(at);
             room_.cancel();
         });
--- /dev/null
+++ b/src/orders/front.h
@@ -0,0 +1,28 @@
+// A front: a protocol by which proxies hear what the planner orders. The order book tells every front what
+// changes; each passes on what concerns its own proxies.
+#pragma once
+
+#include <optional>
+
+#include "planner/planner.h"
+
+namespace zincstack::orders {
+
+class Front {
+public:
+    virtual ~Front() = default;
+    virtual void lineSet(TableId table, ServerId server, double weight) = 0;
+    /// The proxy is one of its own, and is to hold that table besides those that it holds.
+    virtual void bound(ProxyId proxy, TableId table) = 0;
+    virtual void withdrawn(ServerId server, bool out) = 0;
+    /// No table: for every joined proxy.
+    virtual void levelSet(std::optional<TableId> table, ProductSet products) = 0;
+    virtual void marked(MarkId number, bool everyProxy) = 0;
+    virtual void forgotten(ServerId server) = 0;
+    /// A newer stream of the proxy is up, here or on another front: the one that it has here ends.
+    virtual void replaced(ProxyId proxy) = 0;
+    /// The batch of orders is complete.
+    virtual void flush() = 0;
+};
+
+} // namespace zincstack::orders
--- /dev/null
+++ b/src/platform/door.cpp
@@ -0,0 +1,55 @@
+#include "platform/door.h"
+
+#include <utility>
+
+#include "platform/peer_session.h"
+#include "platform/push_target.h"
+
+namespace zincstack::net {
+
+namespace {
+
+/// A session with the way back to its own connection.
+class Visitor final : public Peer, PushTarget {
+public:
+    Visitor(Connection& connection, Intake& intake, Counters& counters, BufferPool& lines,
+            std::function<void()> alive)
+        : connection_(connection), session_(intake, counters, lines, *this, std::move(alive)) {}
+
+    bool feed(std::string_view bytes) override { return session_.feed(bytes); }
+    bool mayStay() override { return session_.mayStay(); }
+    bool stranger() const override { return session_.stranger(); }
+    void ended() override { session_.ended(); }
+    std::string_view lastWords() const override {
+        return session_.refused() ? "error reason=refused\r\n" : std::string_view{};
+    }
+
+private:
+    bool push(std::string_view bytes) override { return connection_.push(bytes); }
+    bool idle() const override { return connection_.idle(); }
+    void replaced() override { connection_.close(); }
+
+    Connection& connection_;
+    PeerSession session_;
+};
+
+} // namespace
+
+std::unique_ptr<Peer> Door::peer(Connection& connection) {
+    return std::make_unique<Visitor>(connection, intake_, counters_, lines_,
+                                     [this, &connection] { alive(connection); });
+}
+
+void Door::serve() {
+    if (std::exchange(serving_, true)) return;
+    for (const auto& one : std::exchange(asking_, {}))
+        if (const auto connection = one.lock()) alive(*connection);
+}
+
+void Door::alive(Connection& connection) {
+    if (!serving_) return asking_.push_back(connection.weak_from_this());
+    counters_.add(Count::ProbesAnswered);
+    if (!connection.push("alive\r\n")) counters_.passedOver(Count::NoRoom, "no room for an answer");
+}
+
+} // namespace zincstack::net
--- a/src/platform/intake.cpp
+++ b/src/platform/intake.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-Intake::Intake(Engine& engine, Outbox& outbox, Names& names, Counters& counters, std::uint32_t proxies)
-    : engine_(engine), outbox_(outbox), names_(names), counters_(counters), proxies_(proxies) {}
+Intake::Intake(Engine& engine, orders::OrderBook& book, Outbox& outbox, Names& names, Counters& counters,
+               std::uint32_t proxies)
+    : engine_(engine), book_(book), outbox_(outbox), names_(names), counters_(counters), proxies_(proxies) {}
 
 std::optional<ProxyId> Intake::proxyOf(const Message& message) const {
     const auto proxy = message.count("proxy", 65535);
@@ -67,7 +68,7 @@
     if (!mark || !named || *named != proxy || !spanOf(message, "took_ms"))
         return counters_.passedOver(Count::BadField, "ack");
     if (!outbox_.owns(proxy, stream)) return counters_.add(Count::Stale);
-    if (!outbox_.answered(proxy, {static_cast<std::uint16_t>(*mark)}))
+    if (!book_.answered(proxy, {static_cast<std::uint16_t>(*mark)}))
         return counters_.passedOver(Count::BadMark, "no such mark waits for its answer");
     counters_.add(Count::Acks);
     engine_.input().applied(proxy, {static_cast<std::uint16_t>(*mark)});
--- a/src/platform/intake.h
+++ b/src/platform/intake.h
@@ -16,7 +16,8 @@
 
 class Intake {
 public:
-    Intake(Engine& engine, Outbox& outbox, Names& names, Counters& counters, std::uint32_t proxies);
+    Intake(Engine& engine, orders::OrderBook& book, Outbox& outbox, Names& names, Counters& counters,
+           std::uint32_t proxies);
 
     bool agent(const Message& message);
     /// The proxy that has joined by this stream; none if the message can't be used.
@@ -38,6 +39,7 @@
     static std::optional<LoadReport> report(std::string_view text, char pairMark, char separator);
 
     Engine& engine_;
+    orders::OrderBook& book_;
     Outbox& outbox_;
     Names& names_;
     Counters& counters_;
--- a/src/platform/push_writer.cpp
+++ b/src/platform/push_writer.cpp
@@ -37,13 +37,13 @@
     return all ? std::string{} : out;
 }
 
-std::string levelText(const Level& level) {
+std::string levelText(const orders::Level& level) {
     return " gate=" + numberText(level.level) + " again=" + std::to_string(static_cast<int>(level.tries));
 }
 
 } // namespace
 
-std::string writePush(const PushMessage& message, const Names& names, Counters& counters) {
+WrittenPush writePush(const PushMessage& message, const Names& names, Counters& counters) {
     std::vector<std::string> parts;
     std::size_t lines = 0;
     for (const auto& table : message.tables) {
@@ -63,7 +63,7 @@
             if (rows.size() > kRowBytesMost) flush();
         }
         flush();
-        std::vector<std::pair<Level, ProductSet>> alike;
+        std::vector<std::pair<orders::Level, ProductSet>> alike;
         for (const auto& [product, level] : table.levels) {
             const auto bit = static_cast<ProductSet>(1U << product.value);
             bool found = false;
@@ -91,7 +91,7 @@
     counters.add(Count::Messages);
     counters.add(Count::Parts, parts.size());
     counters.add(Count::OrderLines, lines);
-    return out;
+    return {std::move(out), lines};
 }
 
 } // namespace zincstack::net
--- a/src/platform/push_writer.h
+++ b/src/platform/push_writer.h
@@ -9,23 +9,16 @@
 
 #include "metrics/counters.h"
 #include "orders/names.h"
+#include "orders/order_book.h"
 
 namespace zincstack::net {
 
-struct Level {
-    double level = 0;
-    FurtherTries tries = FurtherTries::None;
-    friend bool operator==(const Level&, const Level&) = default;
-};
-using Lines = std::map<ServerId, double>;
-using LevelLines = std::map<ProductId, Level>;
-
 /// What changes for one proxy in the table of some products.
 struct TablePart {
     ProductSet products = 0;
     bool whole = false; ///< the lines are the whole table, and levels are forgotten
-    Lines lines;
-    LevelLines levels;
+    orders::Lines lines;
+    orders::LevelLines levels;
 };
 struct PushMessage {
     std::vector<TablePart> tables;
@@ -33,7 +26,11 @@
     std::optional<MarkId> mark;
 };
 
-/// The message's push lines; its parts and lines, counted as the protocol counts them, go to `counters`.
-std::string writePush(const PushMessage& message, const Names& names, Counters& counters);
+struct WrittenPush {
+    std::string bytes;
+    std::size_t lines = 0; ///< as the protocol counts them
+};
+/// The message's push lines; its parts and lines go to `counters` too.
+WrittenPush writePush(const PushMessage& message, const Names& names, Counters& counters);
 
 } // namespace zincstack::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -12,8 +12,9 @@
 #include <memory>
 
 #include "discovery/discovery_watch.h"
+#include "net/listener.h"
 #include "net/shares.h"
-#include "platform/listener.h"
+#include "platform/door.h"
 #include "platform/peer_session.h"
 #include "platform/prober.h"
 #include "terms/station.h"
@@ -204,15 +205,18 @@
 };
 
 struct Desk : testing::Test {
+    BufferPool pool{64}; // outlives what the loop still holds when it ends
     boost::asio::io_context io;
     Counters counters;
-    BufferPool pool{64};
     Names names{{"lookup", "order"}, {"a", "b"}};
     Recorder planner;
     std::vector<ServerId> probes;
-    Outbox outbox{names, counters, [this](ServerId server) { probes.push_back(server); }, [](Micros) {}};
-    Engine engine{io, planner, outbox, counters, 0us};
-    Intake intake{engine, outbox, names, counters, 20};
+    orders::OrderBook book{names, counters, [this](ServerId server) { probes.push_back(server); },
+                           [](Micros) {}};
+    Outbox outbox{book, names, counters};
+    Engine engine{io, planner, book, counters, 0us};
+    Intake intake{engine, book, outbox, names, counters, 20};
+    Door door{intake, counters, pool};
     int alive = 0;
     ServerId s1, s2;
     const TableId table{3};
@@ -226,6 +230,14 @@
         engine.input();
         settle();
     }
+    std::shared_ptr<Listener> listenFor(std::size_t peers) {
+        const auto out = std::make_shared<Listener>(
+            io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), peers,
+            Door::kQueueBytesMost, counters, pool, pool,
+            [this](Connection& connection) { return door.peer(connection); });
+        out->start();
+        return out;
+    }
     std::unique_ptr<PeerSession> session(Reader& reader) {
         return std::make_unique<PeerSession>(intake, counters, pool, reader, [this] { ++alive; });
     }
@@ -326,21 +338,21 @@
     Reader reader;
     const auto stream = proxy(reader);
     order([&] {
-        outbox.setLine(table, s1, 1.5);
-        outbox.setLine(table, s2, 0.25);
-        outbox.admit(table, 1, 1e6, FurtherTries::AfterProof);
-        outbox.admit(table, 2, 1e6, FurtherTries::AfterProof);
-        outbox.bind({17}, 0, table);
-        outbox.mark({905}, false);
+        book.setLine(table, s1, 1.5);
+        book.setLine(table, s2, 0.25);
+        book.admit(table, 1, 1e6, FurtherTries::AfterProof);
+        book.admit(table, 2, 1e6, FurtherTries::AfterProof);
+        book.bind({17}, 0, table);
+        book.mark({905}, false);
     });
     EXPECT_EQ(reader.take(), "push replace=1 rows=s-1:1.5,s-2:0.25 part=1\r\n"
                              "push gate=1000000 again=1 undrop=s-1,s-2 stamp=905\r\n");
     EXPECT_EQ(counters.of(Count::OrderLines), 7U); // replace, two rows, a level, two let back, a mark
     order([&] {
-        outbox.setLine(table, s2, 0);
-        outbox.withdraw(s2, true); // no line of its table names it any more
-        outbox.admit(table, 2, 0.5, FurtherTries::None);
-        outbox.mark({906}, false);
+        book.setLine(table, s2, 0);
+        book.withdraw(s2, true); // no line of its table names it any more
+        book.admit(table, 2, 0.5, FurtherTries::None);
+        book.mark({906}, false);
     });
     EXPECT_EQ(reader.take(), "push rows=s-2:0 part=1\r\npush for=order gate=0.5 again=0 stamp=906\r\n");
     order([] {});
@@ -351,17 +363,17 @@
     listTwo();
     Reader reader, newer;
     const auto stream = proxy(reader);
-    order([&] { outbox.withdraw(s2, true), outbox.mark({1}, false); });
+    order([&] { book.withdraw(s2, true), book.mark({1}, false); });
     EXPECT_EQ(reader.take(), "push drop=s-2 stamp=1\r\n");
-    order([&] { outbox.withdraw(s2, true), outbox.mark({2}, false); });
+    order([&] { book.withdraw(s2, true), book.mark({2}, false); });
     EXPECT_EQ(reader.take(), "");
     const auto next = proxy(newer);
     order([&] {
-        outbox.setLine(table, s2, 1);
-        outbox.bind({17}, 3, table);
+        book.setLine(table, s2, 1);
+        book.bind({17}, 3, table);
     });
     EXPECT_EQ(newer.take(), "push replace=1 rows=s-2:1 drop=s-2\r\n"); // withdrawn by our order still
-    order([&] { outbox.withdraw(s2, false), outbox.mark({4}, true); });
+    order([&] { book.withdraw(s2, false), book.mark({4}, true); });
     EXPECT_EQ(newer.take(), "push undrop=s-2 stamp=4\r\n");
     EXPECT_EQ(reader.take(), "");
 }
@@ -370,15 +382,15 @@
     listTwo();
     Reader reader;
     const auto stream = proxy(reader);
-    order([&] { outbox.withdraw(s2, true), outbox.mark({1}, false); });
+    order([&] { book.withdraw(s2, true), book.mark({1}, false); });
     EXPECT_EQ(reader.take(), "push drop=s-2 stamp=1\r\n");
-    order([&] { EXPECT_TRUE(outbox.forget(s2)); });
+    order([&] { EXPECT_TRUE(book.forget(s2)); });
     EXPECT_FALSE(names.server("s-2"));
     EXPECT_EQ(names.address(s2), "");
     const ServerId before = s2;
     listTwo();
     EXPECT_NE(s2, before);
-    order([&] { outbox.setLine(table, s2, 1), outbox.bind({17}, 0, table); });
+    order([&] { book.setLine(table, s2, 1), book.bind({17}, 0, table); });
     EXPECT_EQ(reader.take(), "push replace=1 rows=s-2:1 undrop=s-2\r\n"); // its proxy has it shut out still
 }
 
@@ -386,11 +398,11 @@
     listTwo();
     Reader reader;
     const auto stream = proxy(reader);
-    order([&] { outbox.setLine(table, s1, 1), outbox.bind({17}, 0, table); });
+    order([&] { book.setLine(table, s1, 1), book.bind({17}, 0, table); });
     reader.take();
     reader.slow = true;
-    order([&] { outbox.setLine(table, s2, 1), outbox.mark({7}, false); });
-    order([&] { outbox.setLine(table, s1, 0.5), outbox.mark({8}, false); });
+    order([&] { book.setLine(table, s2, 1), book.mark({7}, false); });
+    order([&] { book.setLine(table, s1, 0.5), book.mark({8}, false); });
     reader.slow = false;
     order([] {});
     EXPECT_EQ(reader.take(), "push replace=1 rows=s-1:0.5,s-2:1 undrop=s-1,s-2 stamp=8\r\n");
@@ -406,9 +418,9 @@
     Reader reader;
     const auto stream = proxy(reader);
     order([&] {
-        for (const auto& one : planner.listed) outbox.setLine(table, one.id, 1);
-        outbox.bind({17}, 1, table);
-        outbox.mark({1}, false);
+        for (const auto& one : planner.listed) book.setLine(table, one.id, 1);
+        book.bind({17}, 1, table);
+        book.mark({1}, false);
     });
     EXPECT_EQ(counters.of(Count::Parts), 2U);
     EXPECT_EQ(counters.of(Count::Messages), 1U);
@@ -436,7 +448,7 @@
 /// A report whose lines came while a batch was about to close was judged in two halves, and all that
 /// followed a period late.
 TEST_F(Desk, ABatchClosesOnceNothingMoreComesNotInTheMiddleOfAReport) {
-    Engine slow(io, planner, outbox, counters, 200ms);
+    Engine slow(io, planner, book, counters, 200ms);
     slow.input();
     boost::asio::steady_timer second(io, 300ms);
     second.async_wait([&](boost::system::error_code) {
@@ -548,10 +560,9 @@
 
 TEST_F(Desk, StrangersThatHoldAllPlacesGiveWayToAProxy) {
     using boost::asio::ip::tcp;
-    Listener listener(io, {boost::asio::ip::address_v4::loopback(), 0}, 3, intake, counters, pool, pool);
-    listener.start();
+    const auto listener = listenFor(3);
     std::vector<tcp::socket> peers;
-    for (int k = 0; k < 6; ++k) peers.emplace_back(io).connect(listener.address());
+    for (int k = 0; k < 6; ++k) peers.emplace_back(io).connect(listener->address());
     boost::asio::write(peers.back(), boost::asio::buffer("hello proxy=17 zone=b weight=1 fresh=1\r\n"sv));
     const auto start = std::chrono::steady_clock::now();
     while (planner.seen.empty() && io.run_one_for(10s)) {}
@@ -563,12 +574,11 @@
 /// Peers that say nothing, half of something or no more than a probe held their connections for good.
 TEST_F(Desk, WhoDoesNotJoinInTimeIsToldSoAndClosedAndWhoHasJoinedStays) {
     using boost::asio::ip::tcp;
-    Listener listener(io, {boost::asio::ip::address_v4::loopback(), 0}, 9, intake, counters, pool, pool);
-    listener.start();
-    listener.serve();
+    const auto listener = listenFor(9);
+    door.serve();
     std::vector<tcp::socket> peers;
     for (const auto text : {""sv, "hello proxy=1"sv, "probe\r\n"sv, "agent zone=a\r\n"sv}) {
-        peers.emplace_back(io).connect(listener.address());
+        peers.emplace_back(io).connect(listener->address());
         boost::asio::write(peers.back(), boost::asio::buffer(text));
     }
     while (counters.of(Count::Closed) < 3 && io.run_one_for(10s)) {}
@@ -628,8 +638,8 @@
     Reader collectorEnd, proxyEnd;
     const auto collector = session(collectorEnd), stream = proxy(proxyEnd);
     collector->feed("agent zone=a\r\n");
-    order([&] { outbox.setLine(table, s1, 1), outbox.bind({17}, 0, table), outbox.mark({904}, false); });
-    order([&] { outbox.setLine(table, s2, 1), outbox.mark({905}, false); });
+    order([&] { book.setLine(table, s1, 1), book.bind({17}, 0, table), book.mark({904}, false); });
+    order([&] { book.setLine(table, s2, 1), book.mark({905}, false); });
     planner.seen.clear();
     const std::string_view sound[] = {"outcomes", "zone=a",    "server=s-1", "tries=9",
                                       "failed=3", "mean_ms=4", "span_ms=10", "load=q:1"};
