Pub-sub channel without sockets: topic log, wire, pacing, hub, replica and subscription

Withdrawals are a topic of their own that overtakes. Windows bound what is on its way, with the platform's lines counted in. The subscriber's stream, the client's side and the replica are tables of state; redialling is spread. Nothing of it is wired yet.

--- /dev/null
+++ b/src/client/redial.cpp
@@ -0,0 +1,26 @@
+#include "client/redial.h"
+
+#include <algorithm>
+
+namespace zincstack::client {
+
+namespace {
+
+constexpr unsigned kDoublingsMost = 16;
+
+} // namespace
+
+Redial::Call Redial::next(Micros held, std::optional<Micros> again) {
+    if (held >= terms_.well) failures_ = 0;
+    if (again) {
+        failures_ = 0;
+        return {address_, std::min(*again, terms_.most * 12)};
+    }
+    address_ = (address_ + 1) % addresses_;
+    const unsigned doublings = std::min(failures_++ / static_cast<unsigned>(addresses_), kDoublingsMost);
+    const Micros wait = std::min(Micros(terms_.first * (1LL << doublings)), terms_.most);
+    // std's distributions differ between libraries; the engine's own numbers do not.
+    return {address_, wait / 2 + Micros(chance_() % static_cast<std::uint64_t>(wait.count() / 2 + 1))};
+}
+
+} // namespace zincstack::client
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -62,7 +62,7 @@
     if (now - openedAt_ > most_ + kLate) counters_.add(Count::LateBatches);
     planner_.begin(now);
     planner_.decide();
-    book_.flush();
+    book_.flush(now);
 }
 
 void Engine::wakeAfter(Micros span) {
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -53,6 +53,15 @@
                                        "too_long",
                                        "no_room",
                                        "bad_entry",
+                                       "subscriptions",
+                                       "snapshots",
+                                       "lags",
+                                       "let_go",
+                                       "frames_in",
+                                       "frames_out",
+                                       "frames_encoded",
+                                       "frames_skipped",
+                                       "bad_frames",
                                        "broken_invariants"};
 static_assert(std::size(kNames) == static_cast<std::size_t>(Count::End_));
 
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -55,6 +55,15 @@
     TooLong,
     NoRoom,
     BadEntry,
+    Subscriptions,
+    Snapshots,
+    Lags,
+    LetGo,
+    FramesIn,
+    FramesOut,
+    FramesEncoded,
+    FramesSkipped,
+    BadFrames,
     BrokenInvariant,
     End_
 };
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -57,7 +57,8 @@
 void Connection::end() {
     error_code ignored;
     const auto words = peer_->lastWords();
-    if (socket_.is_open() && !words.empty()) socket_.write_some(asio::buffer(words), ignored);
+    if (socket_.is_open() && queue_.empty() && !words.empty()) // never in the middle of something else
+        socket_.write_some(asio::buffer(words), ignored);
     close();
 }
 
@@ -111,9 +112,17 @@
 bool Connection::push(SharedBytes bytes) {
     if (!socket_.is_open()) return true;
     if (queued_ > queueMost_) return false;
+    std::size_t sent = 0;
+    if (queue_.empty()) { // most readers take it at once, and need no turn of the loop of their own
+        error_code error;
+        sent = socket_.write_some(asio::buffer(*bytes), error);
+        counters_.add(Count::BytesOut, sent);
+    }
     const std::size_t size = bytes->size();
+    if (sent == size) return true;
+    if (queue_.empty()) head_ = sent;
     queue_.push_back({{}, std::move(bytes), size});
-    queued(size);
+    queued(size - sent);
     return true;
 }
 
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::size_t kMarksMost = 1024; // without an answer, of one proxy
+constexpr std::size_t kMarksMost = 1024;           // without an answer, of one proxy
+constexpr Micros kLeft = std::chrono::seconds(10); // unanswered lines have left the channel
 
 } // namespace
 
@@ -24,14 +25,14 @@
     counters_.holds(std::ranges::none_of(members_, [&](auto& one) { return one.second.front == &front; }));
 }
 
-bool OrderBook::joined(ProxyId proxy, Front& front) {
+bool OrderBook::joined(ProxyId proxy, ZoneId zone, Front& front) {
     const auto before = members_.find(proxy);
     const bool had = before != members_.end();
     if (had) {
         release(before->second, before->second.unanswered.size());
         before->second.front->replaced(proxy);
     }
-    members_.insert_or_assign(proxy, Member{&front});
+    members_.insert_or_assign(proxy, Member{&front, zone});
     return had;
 }
 
@@ -59,7 +60,7 @@
     const auto found = members_.find(proxy);
     counters_.holds(found != members_.end());
     if (found == members_.end()) return;
-    found->second.unanswered.push_back({number, lines});
+    found->second.unanswered.push_back({number, lines, now_});
     onTheirWay_ += lines;
     if (found->second.unanswered.size() > kMarksMost) release(found->second, 1);
 }
@@ -111,6 +112,7 @@
     counters_.holds(found != members_.end()); // only joined proxies are bound
     if (found == members_.end()) return;
     tables_[table].products = products ? products : everyProduct();
+    tables_[table].zone = found->second.zone;
     found->second.tables.insert(table);
     found->second.front->bound(proxy, table);
 }
@@ -143,7 +145,13 @@
 
 void OrderBook::log(std::string_view line) { spdlog::info("planner: {}", line); }
 
-void OrderBook::flush() {
+void OrderBook::flush(Micros now) {
+    now_ = now;
+    for (auto& [id, member] : members_)
+        for (Sent& one : member.unanswered) {
+            if (one.at > now - kLeft) break;
+            onTheirWay_ -= std::exchange(one.lines, 0);
+        }
     for (auto* front : fronts_) front->flush();
 }
 
--- a/src/orders/order_book.h
+++ b/src/orders/order_book.h
@@ -27,6 +27,7 @@
 
 struct TableOrders {
     ProductSet products = 0;
+    std::optional<ZoneId> zone; ///< of the proxies that are bound to it; none before one was
     Lines lines;
     LevelLines levels;
 };
@@ -42,7 +43,7 @@
 
     // -- who is joined; the newest stream of a proxy wins, whichever front it is on --
     /// True if the proxy had a stream before, which is told that it is replaced.
-    bool joined(ProxyId proxy, Front& front);
+    bool joined(ProxyId proxy, ZoneId zone, Front& front);
     /// False where the proxy is not this front's (any more).
     bool left(ProxyId proxy, const Front& front);
     bool owns(ProxyId proxy, const Front& front) const;
@@ -52,7 +53,8 @@
     void written(ProxyId proxy, MarkId number, std::size_t lines);
     /// The proxy has answered a mark; false where no such mark was written to it, or it was answered.
     bool answered(ProxyId proxy, MarkId number);
-    /// Lines of all messages that were written on any front and have no answer yet.
+    /// Lines of all messages that were written on any front and have no answer yet; after ten seconds they
+    /// are taken to have left, as the planner's own ledger does.
     std::size_t linesOnTheirWay() const { return onTheirWay_; }
 
     // -- what was ordered --
@@ -70,7 +72,7 @@
     ProductSet everyProduct() const { return static_cast<ProductSet>((1U << names_.products()) - 1); }
 
     /// Every front writes what was ordered in this batch.
-    void flush();
+    void flush(Micros now);
 
     // -- orders --
     void setLine(TableId table, ServerId server, double weight) override;
@@ -89,9 +91,11 @@
     struct Sent {
         MarkId mark;
         std::size_t lines;
+        Micros at;
     };
     struct Member {
         Front* front;
+        ZoneId zone;
         std::set<TableId> tables = {};
         std::deque<Sent> unanswered = {}; // oldest first
     };
@@ -107,6 +111,7 @@
     std::set<ServerId> withdrawn_;
     std::map<ProxyId, Member> members_;
     std::size_t onTheirWay_ = 0;
+    Micros now_{};
 };
 
 } // namespace zincstack::orders
--- a/src/platform/intake.cpp
+++ b/src/platform/intake.cpp
@@ -50,7 +50,7 @@
         return {};
     }
     counters_.add(Count::Hellos);
-    if (outbox_.joined(*proxy, stream)) counters_.add(Count::Takeovers);
+    if (outbox_.joined(*proxy, *zone, stream)) counters_.add(Count::Takeovers);
     engine_.input().joined(*proxy, *zone, *weight, *fresh);
     return proxy;
 }
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -15,8 +15,8 @@
     book_.remove(*this);
 }
 
-bool Outbox::joined(ProxyId proxy, PushTarget& stream) {
-    const bool had = book_.joined(proxy, *this);
+bool Outbox::joined(ProxyId proxy, ZoneId zone, PushTarget& stream) {
+    const bool had = book_.joined(proxy, zone, *this);
     held_.insert_or_assign(proxy, Held{&stream});
     return had;
 }
--- a/src/platform/outbox.h
+++ b/src/platform/outbox.h
@@ -22,7 +22,7 @@
     Outbox& operator=(const Outbox&) = delete;
 
     /// A stream of the proxy is up; whatever one it had before is not its own any more. True if it had one.
-    bool joined(ProxyId proxy, PushTarget& stream);
+    bool joined(ProxyId proxy, ZoneId zone, PushTarget& stream);
     /// True if that stream was the proxy's own: the proxy has left.
     bool left(ProxyId proxy, const PushTarget& stream);
     bool owns(ProxyId proxy, const PushTarget& stream) const;
--- /dev/null
+++ b/src/pubsub/pacing.cpp
@@ -0,0 +1,63 @@
+#include "pubsub/pacing.h"
+
+#include <algorithm>
+
+namespace zincstack::pubsub {
+
+namespace {
+
+// Parts of the queue, as the decision module's own: urgent orders use 0.95 of it, what can wait a half.
+constexpr double kPartOf[kUrgencies] = {0.95, 0.75, 0.5};
+// Of its own window a withdrawal may use twice: it goes out beside what a slow reader has not taken yet.
+constexpr std::size_t kOwnTimes[kUrgencies] = {2, 1, 1};
+
+} // namespace
+
+/// A message larger than a window goes where nothing else is on its way: else it never would.
+Pacing::Verdict Pacing::may(Urgency urgency, std::size_t lines, std::size_t bytes, const Window& own,
+                            std::size_t elsewhere) const {
+    const auto place = static_cast<std::size_t>(urgency);
+    const bool ownFits = own.lines + lines <= kOwnTimes[place] * terms_.linesEach &&
+                         own.bytes + bytes <= kOwnTimes[place] * terms_.bytesEach;
+    if (!ownFits && own.bytes > 0) return Verdict::OwnFull;
+    const auto all = static_cast<double>(all_.lines + elsewhere + lines);
+    if (all > kPartOf[place] * terms_.queueMost && all_.lines + elsewhere > 0) return Verdict::AllFull;
+    return Verdict::Go;
+}
+
+void Pacing::sent(Window& own, std::size_t lines, std::size_t bytes) {
+    for (Window* one : {&own, &all_}) one->lines += lines, one->bytes += bytes;
+    mostLines_ = std::max(mostLines_, all_.lines);
+}
+
+void Pacing::answered(Window& own, std::size_t lines, std::size_t bytes) {
+    for (Window* one : {&own, &all_}) one->lines -= lines, one->bytes -= bytes;
+}
+
+void Pacing::wait(SubscriberId subscriber, Urgency urgency, bool first) {
+    auto& line = waiting_[static_cast<std::size_t>(urgency)];
+    first ? line.push_front(subscriber) : line.push_back(subscriber);
+}
+
+std::optional<std::pair<SubscriberId, Urgency>> Pacing::next() {
+    for (std::size_t place = 0; place < kUrgencies; ++place) {
+        if (waiting_[place].empty()) continue;
+        const SubscriberId first = waiting_[place].front();
+        waiting_[place].pop_front();
+        return std::pair(first, static_cast<Urgency>(place));
+    }
+    return {};
+}
+
+std::size_t Pacing::waiting() const {
+    std::size_t out = 0;
+    for (const auto& line : waiting_) out += line.size();
+    return out;
+}
+
+Micros ComeBack::after(Micros now) {
+    next_ = std::max(next_ + gap_, now);
+    return base_ + (next_ - now);
+}
+
+} // namespace zincstack::pubsub
