The channel runs: command line, operator's file with a schema, logs of events, one reader of JSON

Need: the channel is to be switched on by operators, and looked at; the program had no command line, no settings of its own and logs of sentences. Change: subcommands run, check and subscribe on CLI11; deploy/operator.json held against its schema by valijson, read again on SIGHUP (a bad one changes nothing); spdlog lines are events with fields, as text or JSON. A subscriber that stands still no longer counts against the queue that all share, so a tenth that read nothing starve nobody.

--- a/src/client/subscription.cpp
+++ b/src/client/subscription.cpp
@@ -65,6 +65,7 @@
     beat_ = kWelcomeMost;
     reader_ = pubsub::FrameReader(pubsub::kPlannerFrameMost);
     parting_.reset();
+    refused_ = false;
     fault_.clear();
     late_.clear();
     std::string out;
@@ -245,7 +246,7 @@
         return true;
     case Effect::Close:
         if (frame.type == Type::Bye || frame.type == Type::Refused)
-            parting_ = pubsub::readParting(frame.body);
+            parting_ = pubsub::readParting(frame.body), refused_ = frame.type == Type::Refused;
         return true;
     }
     return false;
--- a/src/client/subscription.h
+++ b/src/client/subscription.h
@@ -47,6 +47,8 @@
     const pubsub::Replica& replica() const { return replica_; }
     /// The planner's last words on the last stream, and when to come back.
     const std::optional<pubsub::Parting>& parting() const { return parting_; }
+    /// They were a refusal: the same greeting will be refused again.
+    bool refused() const { return refused_; }
     const std::string& planner() const { return planner_; }
     /// Why the last stream could not be used further, in one line; empty where it just ended.
     const std::string& fault() const { return fault_; }
@@ -95,6 +97,7 @@
     pubsub::Replica replica_;
     pubsub::FrameReader reader_{pubsub::kPlannerFrameMost};
     State state_ = State::Apart;
+    bool refused_ = false;
     bool fresh_ = true; // no table that was ordered has come yet
     std::string planner_, fault_;
     std::optional<pubsub::Parting> parting_;
--- a/src/discovery/discovery_driver.cpp
+++ b/src/discovery/discovery_driver.cpp
@@ -3,10 +3,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <spdlog/spdlog.h>
 
 #include <algorithm>
 
+#include "log/log.h"
 #include "net/client.h"
 #include "net/fatal.h"
 
@@ -47,7 +47,8 @@
         co_await converse();
         const bool came = watch_.answers() != before;
         if (std::exchange(answered, came) != came)
-            spdlog::info("discovery: {}", came ? "answers again" : "no answer, the old list holds");
+            log::info(came ? "discovery_answers" : "discovery_silent",
+                      {{"address", at_.address().to_string() + ":" + std::to_string(at_.port())}});
         if (moves != moves_)
             pace = kPaceLeast;
         else if (!came)
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -82,17 +82,15 @@
 bool DiscoveryWatch::answer() {
     if (response_.status() != 200) return false;
     try {
-        const Json all = readJson(response_.body());
-        const auto* revision = all.textOf("revision", Json::Kind::Number);
-        const auto* complete = all.textOf("complete", Json::Kind::Truth);
-        const Json* members = all.find("members");
-        if (!revision || !complete || !members || members->kind != Json::Kind::List) return false;
-        const bool whole = *complete == "true";
-        if ((whole || !members->items.empty()) &&
-            !told_(whole ? ListNews::Whole : ListNews::Changes, *members))
+        const json::Value all = json::read(response_.body());
+        const json::Value &revision = json::member(all, "revision"),
+                          &complete = json::member(all, "complete"), &members = json::member(all, "members");
+        if (!revision.is_number() || !complete.is_boolean() || !members.is_array()) return false;
+        const bool whole = complete.get<bool>();
+        if ((whole || !members.empty()) && !told_(whole ? ListNews::Whole : ListNews::Changes, members))
             return false;
         counters_.add(whole ? Count::ListsWhole : Count::ListsChanged);
-        revision_ = *revision;
+        revision_ = revision.dump();
         ++answers_;
         return true;
     } catch (const Malformed& error) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -34,6 +34,7 @@
     /// The planner, in a batch that is open from now on and is decided once nothing more comes.
     Planner& input();
     void wakeAfter(Micros span);
+    Micros now() const { return clock_.now(); }
 
 private:
     void gather();
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -1,28 +1,27 @@
-// A JSON reader of our own: text to a tree of values, with a bound on depth. Numbers keep their text.
+// JSON and CBOR as trees, read by nlohmann-json with a bound on depth, and how to ask a tree for what it may not
+// hold.
 #pragma once
 
+#include <nlohmann/json.hpp>
+
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 #include "terms/malformed.h"
 
-namespace zincstack::net {
+namespace zincstack::json {
 
-struct Json {
-    enum class Kind { Null, Truth, Number, Text, List, Object };
-    Kind kind = Kind::Null;
-    std::string text;               ///< of a number, a text, or `true` and `false`
-    std::vector<Json> items;        ///< of a list, or an object's values
-    std::vector<std::string> names; ///< of an object, beside `items`
+using Value = nlohmann::json;
 
-    const Json* find(std::string_view name) const;
-    /// The text of a member of that kind; null where there is none.
-    const std::string* textOf(std::string_view name, Kind wanted) const;
-};
+/// Throws Malformed with the offset where the text is no JSON or deeper than `depthMost`.
+Value read(std::string_view text, int depthMost = 32);
+/// Null where the bytes are no CBOR, go on after it, or are deeper than `depthMost`.
+Value readCbor(std::string_view bytes, int depthMost);
+std::string writeCbor(const Value& value);
 
-/// Throws Malformed with the offset.
-Json readJson(std::string_view text);
+/// A member of an object; null where there is none, or where it is no object.
+const Value& member(const Value& of, const char* name);
+/// The text of a member; null pointer where it is missing or no text.
+const std::string* textOf(const Value& of, const char* name);
 
-} // namespace zincstack::net
+} // namespace zincstack::json
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -1,6 +1,6 @@
 #include "metrics/counters.h"
 
-#include <spdlog/spdlog.h>
+#include "log/log.h"
 
 namespace zincstack::net {
 
@@ -56,6 +56,7 @@
                                        "subscriptions",
                                        "snapshots",
                                        "lags",
+                                       "stuck",
                                        "let_go",
                                        "frames_in",
                                        "frames_out",
@@ -75,13 +76,14 @@
     auto& told = toldAt_[static_cast<std::size_t>(what)];
     if (told != std::chrono::steady_clock::time_point{} && now - told < kTellEvery) return;
     told = now;
-    spdlog::warn("passed over: {}, {} so far: {}", nameOf(what), of(what), detail.substr(0, kDetailMost));
+    log::warn("passed_over",
+              {{"kind", nameOf(what)}, {"so_far", of(what)}, {"detail", detail.substr(0, kDetailMost)}});
 }
 
-std::string Counters::text() const {
-    std::string out;
+std::vector<std::pair<std::string_view, std::uint64_t>> Counters::all() const {
+    std::vector<std::pair<std::string_view, std::uint64_t>> out;
     for (std::size_t k = 0; k < kSize; ++k)
-        if (all_[k]) out.append(out.empty() ? "" : " ").append(kNames[k]) += "=" + std::to_string(all_[k]);
+        if (all_[k]) out.emplace_back(kNames[k], all_[k]);
     return out;
 }
 
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -5,8 +5,9 @@
 #include <cassert>
 #include <chrono>
 #include <cstdint>
-#include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace zincstack::net {
 
@@ -58,6 +59,7 @@
     Subscriptions,
     Snapshots,
     Lags,
+    Stuck,
     LetGo,
     FramesIn,
     FramesOut,
@@ -80,8 +82,8 @@
         assert(truth);
         if (!truth) passedOver(Count::BrokenInvariant, "");
     }
-    /// All that are not zero, as name=value words.
-    std::string text() const;
+    /// All that are not zero, by name.
+    std::vector<std::pair<std::string_view, std::uint64_t>> all() const;
 
 private:
     static constexpr std::size_t kSize = static_cast<std::size_t>(Count::End_);
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -1,10 +1,10 @@
 #include "orders/order_book.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "log/log.h"
+
 namespace zincstack::orders {
 
 namespace {
@@ -143,7 +143,7 @@
     return true;
 }
 
-void OrderBook::log(std::string_view line) { spdlog::info("planner: {}", line); }
+void OrderBook::log(std::string_view line) { log::info("planner", {{"says", line}}); }
 
 void OrderBook::flush(Micros now) {
     now_ = now;
--- a/src/platform/intake.cpp
+++ b/src/platform/intake.cpp
@@ -115,14 +115,14 @@
     engine_.input().usage({*proxy, *product, *tries, *failed, *span});
 }
 
-bool Intake::list(ListNews news, const Json& members) {
+bool Intake::list(ListNews news, const json::Value& members) {
     std::vector<ListedServer> entries;
     std::vector<std::string_view> addresses;
-    for (const Json& member : members.items) {
+    for (const json::Value& member : members) {
         ListedServer one;
         std::string_view address;
         if (!entry(member, one, address)) {
-            const auto* name = member.textOf("id", Json::Kind::Text);
+            const auto* name = json::textOf(member, "id");
             counters_.passedOver(Count::BadEntry, name ? *name : "an entry without a name");
             return false;
         }
@@ -130,7 +130,7 @@
         addresses.push_back(address);
     }
     for (std::size_t k = 0; k < entries.size(); ++k) {
-        entries[k].id = names_.listed(*members.items[k].textOf("id", Json::Kind::Text));
+        entries[k].id = names_.listed(*json::textOf(members[k], "id"));
         if (!addresses[k].empty()) names_.moved(entries[k].id, addresses[k]);
     }
     engine_.input().list(news, entries);
@@ -138,32 +138,32 @@
 }
 
 /// One that is gone needs no more than its name.
-bool Intake::entry(const Json& member, ListedServer& into, std::string_view& address) {
-    using enum Json::Kind;
+bool Intake::entry(const json::Value& member, ListedServer& into, std::string_view& address) {
     static constexpr std::pair<std::string_view, ListedState> kPhases[] = {
         {"Gone", ListedState::Gone}, {"Ready", ListedState::Ready}, {"Terminating", ListedState::Draining}};
-    const auto* name = member.textOf("id", Text);
-    const auto* phase = member.textOf("phase", Text);
+    const auto* name = json::textOf(member, "id");
+    const auto* phase = json::textOf(member, "phase");
     if (!name || name->empty() || !phase) return false;
     const auto state = std::ranges::find(kPhases, *phase, &std::pair<std::string_view, ListedState>::first);
     if (state == std::end(kPhases)) return false;
     into.state = state->second;
     const bool gone = into.state == ListedState::Gone;
 
-    if (const auto* text = member.textOf("host_port", Text))
+    if (const auto* text = json::textOf(member, "host_port"))
         address = *text;
     else if (!gone)
         return false;
-    const auto* locality = member.textOf("locality", Text);
+    const auto* locality = json::textOf(member, "locality");
     const auto zone = locality ? names_.zone(*locality) : std::nullopt;
     if (zone)
         into.zone = *zone;
     else if (!gone)
         return false;
-    const auto figure = [&](std::string_view field, double absent) -> std::optional<double> {
-        const Json* value = member.find(field);
-        if (!value || value->kind == Null) return absent;
-        return value->kind == Number ? parseNumber(value->text) : std::nullopt;
+    const auto figure = [&](const char* field, double absent) -> std::optional<double> {
+        const json::Value& value = json::member(member, field);
+        if (value.is_null()) return absent;
+        const double out = value.is_number() ? value.get<double>() : -1;
+        return std::isfinite(out) && out >= 0 ? std::optional(out) : std::nullopt;
     };
     constexpr double kMillisMost = 1e13;
     const auto since = figure("up_since_ms", 0), size = figure("size", 1), pod = figure("cell", 0);
--- a/src/platform/intake.h
+++ b/src/platform/intake.h
@@ -28,12 +28,12 @@
     /// `stream`: the proxy on whose own stream it came; none if a collector brought it.
     void demand(const Message& message, std::optional<ProxyId> stream);
     /// False where an entry can't be used: nothing was passed on.
-    bool list(ListNews news, const Json& members);
+    bool list(ListNews news, const json::Value& members);
     void probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body);
 
 private:
     std::optional<ProxyId> proxyOf(const Message& message) const;
-    bool entry(const Json& member, ListedServer& into, std::string_view& address);
+    bool entry(const json::Value& member, ListedServer& into, std::string_view& address);
     static std::optional<Micros> spanOf(const Message& message, std::string_view name);
     /// None where a figure is none.
     static std::optional<LoadReport> report(std::string_view text, char pairMark, char separator);
--- a/src/pubsub/hub.cpp
+++ b/src/pubsub/hub.cpp
@@ -442,8 +442,12 @@
     const Micros now = clock_();
     std::map<Heads, SharedFrame> beats; // one for all who hold the same topics
     for (auto& [id, one] : subscribers_) {
-        if (id.value % kTurns != turn_ || one->state() == State::Greeting || one->state() == State::Leaving)
-            continue;
+        if (one->state() == State::Greeting || one->state() == State::Leaving) continue;
+        if (one->owes() && now - one->movedAt > leases_.patience && !one->window.stuck) {
+            counters_.add(Count::Stuck);
+            pacing_.stuck(one->window);
+        }
+        if (id.value % kTurns != turn_) continue;
         if (now - one->heardAt > leases_.lease) {
             step(*one, Input::Silent, "nothing was heard for the length of its lease");
             continue;
--- a/src/pubsub/hub.h
+++ b/src/pubsub/hub.h
@@ -23,10 +23,11 @@
 namespace zincstack::pubsub {
 
 struct LeaseTerms {
-    Micros beat = std::chrono::seconds(1);   ///< how often each side says something
-    Micros lease = std::chrono::seconds(5);  ///< who has said nothing for so long has left
-    Micros stall = std::chrono::seconds(20); ///< who owes an answer for so long is let go
-    std::uint32_t backASecond = 200;         ///< how many that are sent away may come back in a second
+    Micros beat = std::chrono::seconds(1);            ///< how often each side says something
+    Micros lease = std::chrono::seconds(5);           ///< who has said nothing for so long has left
+    Micros patience = std::chrono::milliseconds(500); ///< who owes an answer for so long stands still
+    Micros stall = std::chrono::seconds(20);          ///< and for so long is let go
+    std::uint32_t backASecond = 200; ///< how many that are sent away may come back in a second
 };
 
 class Hub final : public orders::Front {
--- a/src/pubsub/pacing.h
+++ b/src/pubsub/pacing.h
@@ -24,14 +24,16 @@
 inline constexpr std::size_t kUrgencies = 3;
 
 struct PaceTerms {
-    std::size_t linesEach = 1024;      ///< without an answer, at one subscriber
-    std::size_t bytesEach = 32 * 1024; ///< the same in bytes
-    double queueMost = 0;              ///< lines that may wait at once, of all fronts (ChannelTerms)
+    std::size_t linesEach = 1024;            ///< without an answer, at one subscriber
+    std::size_t bytesEach = 32 * 1024;       ///< the same in bytes
+    double queueMost = 0;                    ///< lines that may wait at once, of all fronts (ChannelTerms)
+    std::size_t bytesAll = 16 * 1024 * 1024; ///< without an answer, at all subscribers
 };
 
 /// What one subscriber has not answered yet.
 struct Window {
     std::size_t lines = 0, bytes = 0;
+    bool stuck = false; ///< it stands still: what it owes lies in its own buffers, and gets no company
 };
 
 class Pacing {
@@ -44,7 +46,10 @@
                 std::size_t elsewhere) const;
     void sent(Window& own, std::size_t lines, std::size_t bytes);
     void answered(Window& own, std::size_t lines, std::size_t bytes);
-    std::size_t lines() const { return all_.lines; }
+    /// It has answered nothing for a while. Its lines have left the queue that all share, as the planner's own
+    /// ledger takes it; until it has answered them all it gets withdrawals alone.
+    void stuck(Window& own);
+    std::size_t lines() const { return all_.lines; } ///< of those that do not stand still
     std::size_t bytes() const { return all_.bytes; }
     std::size_t mostLines() const { return mostLines_; } ///< ever at once
 
--- a/src/pubsub/wire.cpp
+++ b/src/pubsub/wire.cpp
@@ -1,6 +1,5 @@
 #include "pubsub/wire.h"
 
-#include <nlohmann/json.hpp>
 #include <zstd.h>
 
 #include <algorithm>
@@ -9,11 +8,15 @@
 #include <cmath>
 #include <memory>
 
+#include "json/json.h"
+
 namespace zincstack::pubsub {
 
 namespace {
 
-using nlohmann::json;
+using json::member;
+using json::writeCbor;
+using Tree = json::Value;
 
 constexpr std::size_t kCompressFrom = 512; // bytes of a body: below it the gain is not worth the time
 constexpr int kCompressLevel = 1;
@@ -59,52 +62,26 @@
     return !ZSTD_isError(got) && got == size;
 }
 
-std::string bytesOf(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-/// Guards against depth: a body of thousands of opening arrays costs a node each, so it is stopped early.
-json treeOf(std::string_view body) {
-    struct Shallow : nlohmann::detail::json_sax_dom_parser<json> {
-        explicit Shallow(json& into) : json_sax_dom_parser(into, false) {}
-        bool start_object(std::size_t size) {
-            return ++depth <= kDepthMost && json_sax_dom_parser::start_object(size);
-        }
-        bool end_object() { return --depth, json_sax_dom_parser::end_object(); }
-        bool start_array(std::size_t size) {
-            return ++depth <= kDepthMost && json_sax_dom_parser::start_array(size);
-        }
-        bool end_array() { return --depth, json_sax_dom_parser::end_array(); }
-        int depth = 0;
-    };
-    json out;
-    Shallow sax(out);
-    const bool whole = json::sax_parse(body.begin(), body.end(), &sax, json::input_format_t::cbor);
-    return whole && out.is_object() ? out : json();
+Tree treeOf(std::string_view body) {
+    Tree out = json::readCbor(body, kDepthMost);
+    return out.is_object() ? out : Tree();
 }
 
-std::optional<std::uint64_t> wholeOf(const json& value, std::uint64_t most) {
+std::optional<std::uint64_t> wholeOf(const Tree& value, std::uint64_t most) {
     if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most) return {};
     return value.get<std::uint64_t>();
 }
-std::optional<double> figureOf(const json& value) {
+std::optional<double> figureOf(const Tree& value) {
     if (!value.is_number()) return {};
     const double out = value.get<double>();
     return std::isfinite(out) && out >= 0 ? std::optional(out) : std::nullopt;
 }
-const std::string* nameOf(const json& value) {
+const std::string* nameOf(const Tree& value) {
     const auto* text = value.get_ptr<const std::string*>();
     return text && !text->empty() && text->size() <= kNameMost ? text : nullptr;
 }
-/// A member, or null where there is none.
-const json& member(const json& of, const char* name) {
-    static const json kNothing;
-    const auto found = of.find(name);
-    return found == of.end() ? kNothing : *found;
-}
 constexpr std::uint64_t kMicrosMost = std::uint64_t{1} << 50;
-std::optional<Micros> spanOf(const json& value) {
+std::optional<Micros> spanOf(const Tree& value) {
     const auto micros = wholeOf(value, kMicrosMost);
     return micros ? std::optional(Micros(static_cast<std::int64_t>(*micros))) : std::nullopt;
 }
@@ -186,22 +163,22 @@
 }
 
 std::string write(const Hello& hello) {
-    json have = json::array();
+    Tree have = Tree::array();
     for (const auto& one : hello.have) have.push_back({one.topic.value, one.epoch.value, one.sequence.value});
-    json out{{"versions", {hello.versionLeast, hello.versionMost}},
+    Tree out{{"versions", {hello.versionLeast, hello.versionMost}},
              {"features", hello.features},
              {"zone", hello.zone},
              {"weight", hello.weight},
              {"fresh", hello.fresh},
              {"have", std::move(have)}};
     if (hello.proxy) out["proxy"] = hello.proxy->value;
-    return bytesOf(out);
+    return writeCbor(out);
 }
 
 std::optional<Hello> readHello(std::string_view body) {
-    const json all = treeOf(body);
+    const Tree all = treeOf(body);
     Hello out;
-    const json &versions = member(all, "versions"), &have = member(all, "have");
+    const Tree &versions = member(all, "versions"), &have = member(all, "have");
     if (!versions.is_array() || versions.size() != 2) return {};
     const auto least = wholeOf(versions[0], 255), most = wholeOf(versions[1], 255);
     const auto features = wholeOf(member(all, "features"), UINT32_MAX);
@@ -211,7 +188,7 @@
     out.versionMost = static_cast<std::uint32_t>(*most);
     out.features = static_cast<std::uint32_t>(*features);
     out.zone = *zone;
-    if (const json& proxy = member(all, "proxy"); !proxy.is_null()) {
+    if (const Tree& proxy = member(all, "proxy"); !proxy.is_null()) {
         const auto number = wholeOf(proxy, UINT16_MAX);
         const auto weight = figureOf(member(all, "weight"));
         const auto* fresh = member(all, "fresh").get_ptr<const bool*>();
@@ -222,7 +199,7 @@
     }
     if (have.is_null()) return out;
     if (!have.is_array() || have.size() > kHaveMost) return {};
-    for (const json& one : have) {
+    for (const Tree& one : have) {
         if (!one.is_array() || one.size() != 3) return {};
         const auto topic = wholeOf(one[0], UINT16_MAX), epoch = wholeOf(one[1], UINT64_MAX),
                    sequence = wholeOf(one[2], UINT64_MAX);
@@ -233,15 +210,15 @@
 }
 
 std::string write(const Welcome& welcome) {
-    return bytesOf({{"version", welcome.version},
-                    {"features", welcome.features},
-                    {"planner", welcome.planner},
-                    {"beat_us", welcome.beat.count()},
-                    {"lease_us", welcome.lease.count()}});
+    return writeCbor({{"version", welcome.version},
+                      {"features", welcome.features},
+                      {"planner", welcome.planner},
+                      {"beat_us", welcome.beat.count()},
+                      {"lease_us", welcome.lease.count()}});
 }
 
 std::optional<Welcome> readWelcome(std::string_view body) {
-    const json all = treeOf(body);
+    const Tree all = treeOf(body);
     const auto version = wholeOf(member(all, "version"), 255);
     const auto features = wholeOf(member(all, "features"), UINT32_MAX);
     const auto beat = spanOf(member(all, "beat_us")), lease = spanOf(member(all, "lease_us"));
@@ -253,27 +230,27 @@
 }
 
 std::string write(const Parting& parting) {
-    json out{{"reason", parting.reason}};
+    Tree out{{"reason", parting.reason}};
     if (parting.again) out["again_us"] = parting.again->count();
-    return bytesOf(out);
+    return writeCbor(out);
 }
 
 std::optional<Parting> readParting(std::string_view body) {
-    const json all = treeOf(body);
+    const Tree all = treeOf(body);
     const auto* reason = nameOf(member(all, "reason"));
     if (!reason) return {};
     return Parting{*reason, spanOf(member(all, "again_us"))};
 }
 
 std::string write(const UsageLine& line) {
-    return bytesOf({{"product", line.product},
-                    {"txns", line.txns},
-                    {"voided", line.voided},
-                    {"span_us", line.span.count()}});
+    return writeCbor({{"product", line.product},
+                      {"txns", line.txns},
+                      {"voided", line.voided},
+                      {"span_us", line.span.count()}});
 }
 
 std::optional<UsageLine> readUsage(std::string_view body) {
-    const json all = treeOf(body);
+    const Tree all = treeOf(body);
     const auto* product = nameOf(member(all, "product"));
     const auto txns = wholeOf(member(all, "txns"), UINT32_MAX),
                voided = wholeOf(member(all, "voided"), UINT32_MAX);
@@ -283,17 +260,17 @@
 }
 
 std::string write(const Heads& heads) {
-    json list = json::array();
+    Tree list = Tree::array();
     for (const auto& [topic, head] : heads) list.push_back({topic.value, head.value});
-    return bytesOf({{"heads", std::move(list)}});
+    return writeCbor({{"heads", std::move(list)}});
 }
 
 std::optional<Heads> readHeads(std::string_view body) {
-    const json all = treeOf(body);
-    const json& list = member(all, "heads");
+    const Tree all = treeOf(body);
+    const Tree& list = member(all, "heads");
     if (!list.is_array() || list.size() > kHaveMost) return {};
     Heads out;
-    for (const json& one : list) {
+    for (const Tree& one : list) {
         if (!one.is_array() || one.size() != 2) return {};
         const auto topic = wholeOf(one[0], UINT16_MAX), head = wholeOf(one[1], UINT64_MAX);
         if (!topic || !head) return {};
@@ -311,10 +288,10 @@
 } // namespace
 
 std::string write(const TopicBody& body) {
-    json out = json::object();
+    Tree out = Tree::object();
     if (!body.products.empty()) out["products"] = body.products;
     for (const auto& [key, value] : body.entries) {
-        json& place = out[kKinds[static_cast<std::size_t>(key.kind)].first];
+        Tree& place = out[kKinds[static_cast<std::size_t>(key.kind)].first];
         if (key.kind == Key::Kind::Level)
             place[key.name] = {value.figure, static_cast<int>(value.tries)};
         else if (value.figure == std::floor(value.figure) && value.figure < 1e9)
@@ -322,21 +299,21 @@
         else
             place[key.name] = value.figure;
     }
-    return bytesOf(out);
+    return writeCbor(out);
 }
 
 std::optional<TopicBody> readTopic(std::string_view body) {
-    const json all = treeOf(body);
+    const Tree all = treeOf(body);
     if (!all.is_object()) return {};
     TopicBody out;
-    if (const json& products = member(all, "products"); products.is_array())
-        for (const json& one : products) {
+    if (const Tree& products = member(all, "products"); products.is_array())
+        for (const Tree& one : products) {
             const auto* name = nameOf(one);
             if (!name || out.products.size() >= 64) return {};
             out.products.push_back(*name);
         }
     for (const auto& [name, kind] : kKinds) {
-        const json& place = member(all, name);
+        const Tree& place = member(all, name);
         if (place.is_null()) continue;
         if (!place.is_object() || out.entries.size() + place.size() > kEntriesMost) return {};
         for (const auto& [key, value] : place.items()) {
--- a/src/terms/station.cpp
+++ b/src/terms/station.cpp
@@ -16,74 +16,69 @@
     return text;
 }
 
-const std::string& required(const Json& from, std::string_view name) {
-    const auto* text = from.textOf(name, Json::Kind::Text);
+const std::string& required(const json::Value& from, const char* name) {
+    const auto* text = json::textOf(from, name);
     if (!text || text->empty())
         throw Malformed("configuration: the field " + std::string(name) + " is missing or no text");
     return *text;
 }
+/// A limit, or `absent` where it is not told.
+std::uint32_t limitOr(std::uint32_t absent, const json::Value& limits, const char* name) {
+    const json::Value& value = json::member(limits, name);
+    if (value.is_null()) return absent;
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > UINT32_MAX)
+        throw Malformed("configuration: the field limits." + std::string(name) + " is no whole number: '" +
+                        value.dump() + "'");
+    return value.get<std::uint32_t>();
+}
+/// As the simulator's start text would have it.
+std::string wordOf(const json::Value& value) {
+    const auto* text = value.get_ptr<const std::string*>();
+    return plainWord(text ? *text : value.dump());
+}
 
-template <class Whole>
-Whole whole(std::string_view name, std::string_view text, int base) {
-    Whole out = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+std::uint64_t seedOf(const std::string& text) {
+    std::uint64_t out = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, 16);
     if (error != std::errc{} || end != text.data() + text.size())
-        throw Malformed("configuration: the field " + std::string(name) + " is no whole number: '" +
-                        std::string(text) + "'");
+        throw Malformed("configuration: the field seed is no whole number: '" + text + "'");
     return out;
 }
 
 } // namespace
 
-void flatten(const Json& value, const std::string& path, terms::FlatTerms& into) {
-    const auto below = [&](std::string_view name) {
-        return path.empty() ? std::string(name) : path + "." + std::string(name);
-    };
-    switch (value.kind) {
-    case Json::Kind::Null: return;
-    case Json::Kind::Object:
-        for (std::size_t k = 0; k < value.items.size(); ++k)
-            flatten(value.items[k], below(value.names[k]), into);
-        return;
-    case Json::Kind::List: {
-        const bool nested = std::ranges::any_of(value.items, [](const Json& one) {
-            return one.kind == Json::Kind::Object || one.kind == Json::Kind::List;
-        });
+void flatten(const json::Value& value, const std::string& path, terms::FlatTerms& into) {
+    const auto below = [&](const std::string& name) { return path.empty() ? name : path + "." + name; };
+    if (value.is_null()) return;
+    if (value.is_object()) {
+        for (const auto& [name, item] : value.items()) flatten(item, below(name), into);
+    } else if (!value.is_array()) {
+        into[path] = wordOf(value);
+    } else if (std::ranges::any_of(value, [](const auto& one) { return one.is_structured(); })) {
+        for (std::size_t k = 0; k < value.size(); ++k) flatten(value[k], below(std::to_string(k)), into);
+        into[below("count")] = std::to_string(value.size());
+    } else {
         std::string joined;
-        for (std::size_t k = 0; k < value.items.size(); ++k) {
-            if (nested)
-                flatten(value.items[k], below(std::to_string(k)), into);
-            else
-                joined.append(k ? "," : "") += plainWord(value.items[k].text);
-        }
-        if (nested)
-            into[below("count")] = std::to_string(value.items.size());
-        else
-            into[path] = joined;
-        return;
-    }
-    default: into[path] = plainWord(value.text);
+        for (const auto& item : value)
+            joined.append(joined.empty() && &item == &value.front() ? "" : ",") += wordOf(item);
+        into[path] = joined;
     }
 }
 
 Station readStation(std::string_view text) {
-    const Json all = readJson(text);
+    const json::Value all = json::read(text);
     Station out;
     out.name = required(all, "name");
     out.listen = required(all, "listen");
     out.discovery = required(all, "discovery");
-    out.seed = whole<std::uint64_t>("seed", required(all, "seed"), 16);
-    if (const Json* limits = all.find("limits")) {
-        if (const auto* sockets = limits->textOf("sockets", Json::Kind::Number))
-            out.sockets = whole<std::uint32_t>("limits.sockets", *sockets, 10);
-        if (const auto* memory = limits->textOf("memory_mb", Json::Kind::Number))
-            out.memoryMb = whole<std::uint32_t>("limits.memory_mb", *memory, 10);
-    }
-    if (const Json* known = all.find("known")) out.known = *known;
-    const Json* terms = all.find("settings");
-    if (!terms || terms->kind != Json::Kind::Object)
-        throw Malformed("configuration: the field settings is missing or no object");
-    flatten(*terms, "", out.flat);
+    out.seed = seedOf(required(all, "seed"));
+    const json::Value& limits = json::member(all, "limits");
+    out.sockets = limitOr(out.sockets, limits, "sockets");
+    out.memoryMb = limitOr(out.memoryMb, limits, "memory_mb");
+    out.known = json::member(all, "known");
+    const json::Value& terms = json::member(all, "settings");
+    if (!terms.is_object()) throw Malformed("configuration: the field settings is missing or no object");
+    flatten(terms, "", out.flat);
     return out;
 }
 
--- a/src/terms/station.h
+++ b/src/terms/station.h
@@ -18,12 +18,12 @@
     std::uint64_t seed = 0;
     std::uint32_t sockets = 1024;
     std::uint32_t memoryMb = 192;
-    Json known; ///< in discovery's form; null where there is none
+    json::Value known; ///< in discovery's form; null where there is none
     terms::FlatTerms flat;
 };
 
 /// Nested values as path=value pairs, in the form of the simulator's start text.
-void flatten(const Json& value, const std::string& path, terms::FlatTerms& into);
+void flatten(const json::Value& value, const std::string& path, terms::FlatTerms& into);
 
 /// Throws Malformed, naming the field.
 Station readStation(std::string_view text);
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -70,7 +70,8 @@
             << R"(","seed":"1f","limits":{"sockets":256},"known":{"revision":1,"complete":true,"members":[)"
             << member("s-0", "Ready") << R"(]},"settings":)" << kTerms << "}";
     }
-    void start(const std::string& listen, std::string_view discoveryField = "discovery") {
+    void start(const std::string& listen, std::string_view discoveryField = "discovery",
+               const std::string& operatorFile = {}) {
         post(listen, discoveryField, discovery.local_endpoint().port());
         int ends[2];
         ASSERT_EQ(pipe(ends), 0);
@@ -80,7 +81,9 @@
         posix_spawn_file_actions_addclose(&files, ends[0]);
         const std::string variable = "PROXY_CONFIG=" + path;
         char program[] = ZINCSTACK_PROGRAM;
-        char* arguments[] = {program, nullptr};
+        char flag[] = "--operator";
+        char* arguments[] = {program, operatorFile.empty() ? nullptr : flag,
+                             const_cast<char*>(operatorFile.c_str()), nullptr};
         char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
         ASSERT_EQ(posix_spawn(&pid, program, &files, nullptr, arguments, environment), 0);
         posix_spawn_file_actions_destroy(&files);
@@ -96,7 +99,7 @@
     }
     std::uint16_t startAnywhere() {
         start("127.0.0.1:0");
-        const std::string line = logLine("listens on");
+        const std::string line = logLine("listening");
         return static_cast<std::uint16_t>(std::stoi(line.substr(line.find("127.0.0.1:") + 10)));
     }
     int exitCode() {
@@ -151,9 +154,9 @@
     EXPECT_EQ(second.lineWith("alive"), "alive\r\n");
 
     kill(pid, SIGUSR1);
-    EXPECT_NE(logLine("counters:").find("hellos=2 takeovers=1"), std::string::npos);
+    EXPECT_NE(logLine(" counters ").find("hellos=2 takeovers=1"), std::string::npos);
     kill(pid, SIGTERM);
-    const std::string last = logLine("counters:");
+    const std::string last = logLine(" counters ");
     EXPECT_NE(last.find("out_of_place=1 too_long=1"), std::string::npos) << last;
     EXPECT_EQ(exitCode(), 0);
 }
@@ -185,7 +188,7 @@
     anew.write(answer(3, true, member("s-1", "Ready") + "," + member("s-4", "Ready")));
     proxy.lineWith("s-4"); // on the stream of before
     kill(pid, SIGTERM);
-    EXPECT_NE(logLine("counters:").find("reloads=1 reloads_failed=1"), std::string::npos);
+    EXPECT_NE(logLine(" counters ").find("reloads=1 reloads_failed=1"), std::string::npos);
     EXPECT_EQ(exitCode(), 0);
 }
 
@@ -198,13 +201,70 @@
     EXPECT_EQ(exitCode(), -1);
     std::fclose(std::exchange(log, nullptr));
     start("127.0.0.1:" + std::to_string(port));
-    EXPECT_FALSE(logLine("listens on").empty());
+    EXPECT_FALSE(logLine("listening").empty());
     Peer after = dial(port); // it holds the table of the life before, and perhaps its withdrawals
     after.write("hello proxy=2 zone=a weight=9 fresh=0\r\n");
     EXPECT_EQ(after.until("\r\n"), "push replace=1 rows=s-0:1 part=1\r\n");
     EXPECT_NE(after.until("\r\n").find("undrop=s-0"), std::string::npos);
 }
 
+/// What a command prints, and its exit code.
+std::pair<std::string, int> outputOf(const std::string& command) {
+    std::string out;
+    FILE* pipe = popen((command + " 2>&1").c_str(), "r");
+    char piece[4096];
+    while (const auto got = std::fread(piece, 1, sizeof piece, pipe)) out.append(piece, got);
+    const int status = pclose(pipe);
+    return {out, WIFEXITED(status) ? WEXITSTATUS(status) : -1};
+}
+
+TEST_F(Daemon, TheChannelIsSwitchedOnMovedAndOffByTheOperatorsFileAndABadOneChangesNothing) {
+    const std::string file = path + ".operator";
+    const auto write = [&](std::string_view text) { std::ofstream(file) << text; };
+    write(R"({"log":{"format":"json"},"channel":{"listen":"127.0.0.1:0","subscribers":9}})");
+    start("127.0.0.1:0", "discovery", file);
+    const auto addressIn = [](const std::string& line) {
+        const auto at = line.find("127.0.0.1:");
+        return line.substr(at, line.find_first_of("\" ", at) - at);
+    };
+    const std::string first = logLine("channel_on");
+    EXPECT_EQ(first.find("{\"time\":\""), 0U);
+    logLine("listening");
+    const std::string program = ZINCSTACK_PROGRAM;
+    const auto [table, code] =
+        outputOf(program + " subscribe " + addressIn(first) + " --zone a --proxy 3 --changes 1 --json");
+    EXPECT_EQ(code, 0);
+    EXPECT_NE(table.find(R"("lines":{"s-0":1.0})"), std::string::npos) << table;
+    EXPECT_EQ(outputOf(program + " subscribe " + addressIn(first) + " --zone nowhere").second, 2);
+
+    write(R"({"channel":{"listen":7}})");
+    kill(pid, SIGHUP);
+    EXPECT_NE(logLine("reloads_failed").find("/channel/listen"), std::string::npos);
+    EXPECT_EQ(outputOf(program + " subscribe " + addressIn(first) + " --zone a --proxy 3 --changes 1").second,
+              0);
+    write("{}");
+    kill(pid, SIGHUP);
+    EXPECT_FALSE(logLine("channel_off").empty());
+    logLine("reload operator=");
+    write(R"({"channel":{"listen":"127.0.0.1:0"}})");
+    kill(pid, SIGHUP);
+    const std::string again = logLine("channel_on");
+    EXPECT_EQ(outputOf(program + " subscribe " + addressIn(again) + " --zone a --proxy 4 --changes 1").second,
+              0);
+    kill(pid, SIGTERM);
+    EXPECT_EQ(exitCode(), 0);
+    unlink(file.c_str());
+}
+
+TEST_F(Daemon, AnOperatorsFileThatCantBeUsedIsToldWithExitCodeTwo) {
+    const std::string file = path + ".operator";
+    std::ofstream(file) << R"({"channel":{"listen":"127.0.0.1:0","subscribers":100000}})";
+    start("127.0.0.1:0", "discovery", file);
+    EXPECT_NE(logLine("unusable").find("/channel/subscribers"), std::string::npos);
+    EXPECT_EQ(exitCode(), 2);
+    unlink(file.c_str());
+}
+
 TEST_F(Daemon, AnUnusableStartIsToldInOneLine) {
     start("127.0.0.1:0", "discovered");
     EXPECT_NE(logLine("field discovery is missing").find("critical"), std::string::npos);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -41,24 +41,25 @@
 }
 
 TEST(JsonReader, ReadsATreeAndNamesTheOffsetOfAFault) {
-    const Json all = readJson(R"( {"a":[1, -2.5e3, true, null],"b\u00e9\n":{"c":"\ud83d\ude00"}} )");
-    EXPECT_EQ(all.find("a")->items.at(1).text, "-2.5e3");
-    EXPECT_EQ(*all.find("b\xc3\xa9\n")->textOf("c", Json::Kind::Text), "\xf0\x9f\x98\x80");
-    EXPECT_EQ(all.textOf("a", Json::Kind::Text), nullptr);
-    const std::pair<std::string_view, std::string_view> faults[] = {{R"({"a":})", "offset 5"},
-                                                                    {R"(["a)", "without an end"},
-                                                                    {"[1]x", "after the end"},
-                                                                    {R"("\q")", "escape"},
-                                                                    {R"("\u12g4")", "hex digits"}};
-    for (const auto& [text, what] : faults)
-        EXPECT_NE(faultOf([&, t = text] { readJson(t); }).find(what), std::string::npos) << text;
-    EXPECT_NE(faultOf([] { readJson(std::string(100'000, '[')); }).find("too deep"), std::string::npos);
+    const json::Value all = json::read(R"( {"a":[1, -2.5e3, true, null],"b\u00e9":{"c":"\ud83d\ude00"}} )");
+    EXPECT_EQ(json::member(all, "a")[1].get<double>(), -2500);
+    EXPECT_EQ(*json::textOf(json::member(all, "b\xc3\xa9"), "c"), "\xf0\x9f\x98\x80");
+    EXPECT_EQ(json::textOf(all, "a"), nullptr);
+    EXPECT_TRUE(json::member(json::member(all, "none"), "of this").is_null());
+    for (const auto& [text, what] :
+         std::vector<std::pair<std::string_view, std::string_view>>{{R"({"a":})", "offset 6"},
+                                                                    {R"(["a)", "offset 4"},
+                                                                    {"[1]x", "offset 4"},
+                                                                    {R"("\q")", "offset 3"},
+                                                                    {"", "offset 1"}})
+        EXPECT_NE(faultOf([&, t = text] { json::read(t); }).find(what), std::string::npos) << text;
+    EXPECT_NE(faultOf([] { json::read(std::string(100'000, '[')); }).find("too deep"), std::string::npos);
 }
 
 RC_GTEST_PROP(JsonReader, APartOfATextIsAFaultAndNothingWorse, ()) {
     const std::string text = R"({"revision":41,"complete":true,"members":[{"id":"s\n1","size":1.5e0}]})";
     const auto size = *rc::gen::inRange<std::size_t>(0, text.size());
-    RC_ASSERT(!faultOf([&] { readJson(std::string_view(text).substr(0, size)); }).empty());
+    RC_ASSERT(!faultOf([&] { json::read(std::string_view(text).substr(0, size)); }).empty());
 }
 
 constexpr std::string_view kPosting =
@@ -247,7 +248,7 @@
         return out;
     }
     void listTwo() {
-        const Json all = readJson(
+        const json::Value all = json::read(
             R"([{"id":"s-1","host_port":"127.0.0.1:1","locality":"a","cell":3,"phase":"Ready","size":1.5,"up_since_ms":2},
                 {"id":"s-2","host_port":"127.0.0.1:2","locality":"b","cell":3,"phase":"Terminating","size":1}])");
         ASSERT_TRUE(intake.list(ListNews::Whole, all));
@@ -316,9 +317,9 @@
          {R"([{"id":"s-1","phase":"Ready"}])", R"([{"phase":"Gone"}])",
           R"([{"id":"x","host_port":"h","locality":"zz","phase":"Ready"}])",
           R"([{"id":"x","host_port":"h","locality":"a","phase":"Ready","size":-1}])"})
-        EXPECT_FALSE(intake.list(ListNews::Whole, readJson(bad))) << bad;
+        EXPECT_FALSE(intake.list(ListNews::Whole, json::read(bad))) << bad;
     EXPECT_TRUE(planner.seen.empty());
-    EXPECT_TRUE(intake.list(ListNews::Changes, readJson(R"([{"id":"s-9","phase":"Gone"}])")));
+    EXPECT_TRUE(intake.list(ListNews::Changes, json::read(R"([{"id":"s-9","phase":"Gone"}])")));
 }
 
 TEST_F(Desk, TheLateEndOfAnOldStreamIsNoLeaving) {
@@ -414,7 +415,7 @@
     for (int k = 0; k < 12'000; ++k)
         all += std::string(k ? "," : "") + R"({"id":"server-with-a-long-name-to-fill-lines-)" +
                std::to_string(k) + R"(","host_port":"h:1","locality":"a","phase":"Ready"})";
-    ASSERT_TRUE(intake.list(ListNews::Whole, readJson(all + "]")));
+    ASSERT_TRUE(intake.list(ListNews::Whole, json::read(all + "]")));
     Reader reader;
     const auto stream = proxy(reader);
     order([&] {
@@ -466,8 +467,8 @@
     std::vector<std::pair<ListNews, std::size_t>> told;
     bool usable = true;
     DiscoveryWatch watch{"h:1",
-                         [this](ListNews news, const Json& members) {
-                             told.emplace_back(news, members.items.size());
+                         [this](ListNews news, const json::Value& members) {
+                             told.emplace_back(news, members.size());
                              return usable;
                          },
                          counters, 1 << 20};
--- a/tests/pubsub_test.cpp
+++ b/tests/pubsub_test.cpp
@@ -503,6 +503,24 @@
     EXPECT_EQ(slow.end->subscriber->window.lines, 0U);
 }
 
+/// Deaf ones once held so much of the queue that all share that nobody else was sent anything.
+TEST_F(Channel, ATenthThatReadNothingStarveNobodyAndTheirMemoryIsBounded) {
+    servers(300);
+    for (std::uint16_t k = 0; k < 200; ++k) add(k);
+    for (std::size_t k = 0; k < 200; k += 10) clients[k]->stalled = true;
+    batch();
+    for (int k = 0; k < 30; ++k) second();
+    std::size_t deafBytes = 0, told = 0;
+    for (std::size_t k = 0; k < 200; ++k)
+        if (k % 10 == 0 && clients[k]->end) deafBytes += clients[k]->end->toClient.size();
+    EXPECT_LE(deafBytes, 20U * 2 * pace.bytesEach);
+    batch([&] { line(0, 7, 9), withdraw(8, true); });
+    settle();
+    for (std::size_t k = 0; k < 200; ++k) told += k % 10 && same(*clients[k], 0);
+    EXPECT_EQ(told, 180U);
+    EXPECT_EQ(hub->pacing().lines(), 0U);
+}
+
 TEST_F(Channel, AWithdrawalOvertakesTheTableOfOneThatHasNotReadIt) {
     servers(1000);
     pace.linesEach = 300;
