--- a/src/command/command_line.cpp
+++ b/src/command/command_line.cpp
@@ -34,6 +34,13 @@
     watches->add_option("--weight", subscribe.weight, "Rough txns a second of that proxy")->needs(joins);
     watches->add_flag("--json", subscribe.json, "One JSON object a line, for programs");
     watches->add_option("--changes", subscribe.changes, "End after so many changes");
+    Standin standin;
+    auto* const standins = app.add_subcommand("standin", "Run a stand-in of an outside system, for drills");
+    auto* const agent =
+        standins->add_subcommand("discovery", "The agent of discovery, from a file with the list");
+    agent->add_option("FILE", standin.file, "The list; it may be changed while this runs")->required();
+    agent->add_option("--listen", standin.listen, "Address")->default_val("127.0.0.1:8500");
+    standins->require_subcommand(1);
     app.require_subcommand(0, 1);
 
     try {
@@ -47,6 +54,7 @@
         if (*joins) subscribe.proxy = proxy;
         return Order(subscribe);
     }
+    if (*standins) return Order(standin);
     return Order(run);
 }
 
--- a/src/command/command_line.h
+++ b/src/command/command_line.h
@@ -23,7 +23,11 @@
     bool json = false;
     std::uint32_t changes = 0; ///< ends after so many; 0: never
 };
-using Order = std::variant<Run, Check, Subscribe>;
+struct Standin {      ///< of discovery
+    std::string file; ///< the list, in discovery's form; looked at again when it changes
+    std::string listen;
+};
+using Order = std::variant<Run, Check, Subscribe, Standin>;
 
 /// What was asked for; or the exit code where that is all (help, version, a line that can't be read), after it
 /// was told on the standard streams.
--- /dev/null
+++ b/src/command/standin.cpp
@@ -0,0 +1,76 @@
+#include "command/standin.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdio>
+#include <filesystem>
+#include <functional>
+
+#include "log/log.h"
+#include "net/address.h"
+#include "standin/agent_driver.h"
+#include "terms/operator_terms.h"
+
+namespace zincstack::command {
+
+namespace {
+
+namespace asio = boost::asio;
+constexpr auto kLook = std::chrono::milliseconds(200); // how often the file is looked at
+
+std::filesystem::file_time_type changedAt(const std::string& file) {
+    std::error_code ignored;
+    return std::filesystem::last_write_time(file, ignored);
+}
+json::Value membersOf(const std::string& file) {
+    try {
+        return json::member(json::read(terms::textOfFile(file)), "members");
+    } catch (const Malformed& error) {
+        const std::string what = error.what();
+        throw Malformed(what.starts_with(file) ? what : file + ": " + what);
+    }
+}
+
+} // namespace
+
+int standin(const Standin& order) {
+    const auto at = net::parseAddress(order.listen);
+    if (!at) throw Malformed("standin: no address: '" + order.listen + "'");
+    log::start(log::Format::Text, log::Level::Info);
+    standin::ListAgent agent;
+    agent.set(membersOf(order.file));
+    auto read = changedAt(order.file);
+    asio::io_context io(1);
+    asio::signal_set end(io, SIGTERM, SIGINT);
+    end.async_wait([&](const boost::system::error_code& error, int) {
+        if (!error) io.stop();
+    });
+    standin::AgentDriver driver(io, *at, agent);
+    driver.start();
+    log::info("standin_discovery", {{"address", driver.address().address().to_string() + ":" +
+                                                    std::to_string(driver.address().port())},
+                                    {"revision", agent.revision()}});
+    asio::steady_timer timer(io);
+    std::function<void()> look = [&] {
+        timer.expires_after(kLook);
+        timer.async_wait([&](const boost::system::error_code& error) {
+            if (error) return;
+            if (const auto now = changedAt(order.file); now != read) {
+                read = now;
+                try {
+                    agent.set(membersOf(order.file));
+                    log::info("list", {{"revision", agent.revision()}});
+                    driver.poke();
+                } catch (const Malformed& fault) { log::warn("list_unusable", {{"what", fault.what()}}); }
+            }
+            look();
+        });
+    };
+    look();
+    io.run();
+    return 0;
+}
+
+} // namespace zincstack::command
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -44,7 +44,9 @@
 Value readCbor(std::string_view bytes, int depthMost) {
     Value out;
     Bounded sax(out, depthMost);
-    return Value::sax_parse(bytes.begin(), bytes.end(), &sax, Value::input_format_t::cbor) ? out : Value();
+    try {
+        return Value::sax_parse(bytes.begin(), bytes.end(), &sax, Value::input_format_t::cbor) ? out : Value();
+    } catch (const Value::exception&) { return {}; } // a size told that no memory holds is thrown, not told
 }
 
 std::string writeCbor(const Value& value) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,12 @@
 // zincstack: reads the command line and hands over to what it names.
 #include <cstdio>
+#include <exception>
 #include <iostream>
 
 #include "command/check.h"
 #include "command/command_line.h"
 #include "command/run.h"
+#include "command/standin.h"
 #include "command/subscribe.h"
 #include "terms/malformed.h"
 
@@ -17,9 +19,13 @@
         if (const auto* check = std::get_if<command::Check>(&order)) return command::check(*check, std::cout);
         if (const auto* subscribe = std::get_if<command::Subscribe>(&order))
             return command::subscribe(*subscribe);
+        if (const auto* standin = std::get_if<command::Standin>(&order)) return command::standin(*standin);
         return command::run(std::get<command::Run>(order));
     } catch (const Malformed& error) {
         std::fprintf(stderr, "zincstack: %s\n", error.what());
         return 2;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "zincstack: %s\n", error.what());
+        return 1;
     }
 }
