--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -56,7 +56,7 @@
 /// The peer may not read, so no more than the socket takes is written.
 void Connection::end() {
     error_code ignored;
-    const auto words = peer_->lastWords();
+    const auto words = peer_ ? peer_->lastWords() : std::string_view{};
     if (socket_.is_open() && queue_.empty() && !words.empty()) // never in the middle of something else
         socket_.write_some(asio::buffer(words), ignored);
     close();
--- a/src/pubsub/door.cpp
+++ b/src/pubsub/door.cpp
@@ -12,17 +12,20 @@
         : hub_(hub), connection_(connection), subscriber_(&hub.opened(*this)) {}
 
     bool feed(std::string_view bytes) override {
+        if (!subscriber_) return false;
         const auto fault = reader_.feed(bytes, [&](Frame& frame) { return hub_.take(*subscriber_, frame); });
         if (fault) hub_.garbled(*subscriber_, *fault);
         return subscriber_->state() != State::Leaving;
     }
     bool mayStay() override {
-        if (!stranger()) return true;
+        if (!subscriber_ || !stranger()) return subscriber_ != nullptr;
         hub_.garbled(*subscriber_, "no greeting within its time");
         return false;
     }
-    bool stranger() const override { return subscriber_->state() == State::Greeting; }
-    void ended() override { hub_.ended(*std::exchange(subscriber_, nullptr)); }
+    bool stranger() const override { return subscriber_ && subscriber_->state() == State::Greeting; }
+    void ended() override {
+        if (subscriber_) hub_.ended(*std::exchange(subscriber_, nullptr));
+    }
     std::string_view lastWords() const override { return lastWords_; }
 
 private:
@@ -35,7 +38,7 @@
     Hub& hub_;
     net::Connection& connection_;
     FrameReader reader_{kClientFrameMost};
-    Subscriber* subscriber_;
+    Subscriber* subscriber_; // null once it has ended: a write that is still pending keeps the connection
     std::string lastWords_;
 };
 
--- a/src/standin/agent_driver.cpp
+++ b/src/standin/agent_driver.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
-
 #include "net/fatal.h"
 
 namespace zincstack::standin {
@@ -31,17 +29,17 @@
 }
 
 /// Answers are small and readers are planners: what the socket does not take ends the connection.
-void AgentDriver::say(Visitor& visitor, const std::string& bytes) {
-    if (bytes.empty() || !visitor.socket.is_open()) return;
+void AgentDriver::Visitor::say(const std::string& bytes) {
+    if (bytes.empty() || !socket.is_open()) return;
     error_code error;
-    asio::write(visitor.socket, asio::buffer(bytes), error);
-    if (error) visitor.socket.close(error);
+    asio::write(socket, asio::buffer(bytes), error);
+    if (error) socket.close(error);
 }
 
 void AgentDriver::poke() {
     std::erase_if(visitors_, [](const auto& one) { return one.expired(); });
     for (const auto& one : visitors_)
-        if (const auto visitor = one.lock()) say(*visitor, visitor->session.turn(now()));
+        if (const auto visitor = one.lock()) visitor->say(visitor->session.turn(now()));
 }
 
 asio::awaitable<void> AgentDriver::accept() {
@@ -63,18 +61,18 @@
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         const auto visitor = std::make_shared<Visitor>(std::move(socket), agent_);
         visitors_.push_back(visitor);
-        asio::co_spawn(acceptor_.get_executor(), serve(visitor), net::rethrow);
+        asio::co_spawn(acceptor_.get_executor(), visitor->serve(),
+                       [visitor](const std::exception_ptr& failure) { net::rethrow(failure); });
     }
 }
 
-asio::awaitable<void> AgentDriver::serve(std::shared_ptr<Visitor> visitor) {
-    std::array<char, 4096> room{};
-    while (visitor->session.usable() && visitor->socket.is_open()) {
+asio::awaitable<void> AgentDriver::Visitor::serve() {
+    while (session.usable() && socket.is_open()) {
         error_code error;
-        const std::size_t got = co_await visitor->socket.async_read_some(
+        const std::size_t got = co_await socket.async_read_some(
             asio::buffer(room), asio::redirect_error(asio::use_awaitable, error));
         if (error) co_return;
-        say(*visitor, visitor->session.feed({room.data(), got}, now()));
+        say(session.feed({room.data(), got}, now()));
     }
 }
 
--- a/src/standin/agent_driver.h
+++ b/src/standin/agent_driver.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <list>
 #include <memory>
 
@@ -25,14 +26,14 @@
 private:
     struct Visitor {
         Visitor(boost::asio::ip::tcp::socket its, const ListAgent& agent)
-            : socket(std::move(its)), session(agent), timer(socket.get_executor()) {}
+            : socket(std::move(its)), session(agent) {}
+        boost::asio::awaitable<void> serve();
+        void say(const std::string& bytes);
         boost::asio::ip::tcp::socket socket;
         AgentSession session;
-        boost::asio::steady_timer timer;
+        std::array<char, 4096> room{};
     };
     boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> serve(std::shared_ptr<Visitor> visitor);
-    static void say(Visitor& visitor, const std::string& bytes);
     static Micros now();
 
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/channel_test.cpp
+++ b/tests/channel_test.cpp
@@ -15,6 +15,7 @@
 #include "platform/intake.h"
 #include "platform/peer_session.h"
 #include "pubsub/channel.h"
+#include "pubsub/door.h"
 
 namespace zincstack {
 namespace {
@@ -228,6 +229,20 @@
     again.ended();
 }
 
+/// A write that was still pending kept a connection whose subscriber was gone, and the listener asked it.
+TEST_F(Site, AVisitorThatHasEndedIsNoStrangerAndTakesNothing) {
+    const auto block = pool.take();
+    net::Connection connection(asio::ip::tcp::socket(io), counters, pool, block, 1024);
+    const auto visitor = pubsub::makeVisitor(*hub, connection);
+    EXPECT_TRUE(visitor->stranger());
+    visitor->ended();
+    EXPECT_FALSE(visitor->stranger());
+    EXPECT_FALSE(visitor->mayStay());
+    EXPECT_FALSE(visitor->feed("x"));
+    visitor->ended();
+    EXPECT_EQ(hub->subscribers(), 0U);
+}
+
 TEST_F(Site, StrangersOnTheChannelAreClosedWithAReasonAndDisturbNobody) {
     list(ListNews::Whole, 0, 10, "Ready");
     join(0, 20);
