--- a/tests/pubsub_test.cpp
+++ b/tests/pubsub_test.cpp
@@ -220,7 +220,7 @@
         const auto before = replica.at({1});
         replica.take(flying[which], 1s);
         const auto after = replica.at({1});
-        RC_ASSERT(!before || (after && *after >= *before));
+        RC_ASSERT((!before || (after && *after >= *before)));
         if (after && states.contains(*after)) {
             const auto* table = replica.tableOf("lookup");
             RC_ASSERT((table ? table->lines : Lines{}) == states.at(*after));
