Load generator: recorded traces in and out, CSV and JSON lines, plain or by zstd

Change: src/load/trace reads and writes both forms; a line that can't be used is one plain message with its number and the rest is read; a compressed text that is cut off or too large is a fault and nothing is half read.

--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -7,6 +7,7 @@
 
 #include "load/arrivals.h"
 #include "load/recorder.h"
+#include "load/trace.h"
 
 namespace zincstack::load {
 namespace {
@@ -190,5 +191,54 @@
     EXPECT_NEAR(both.all(), surge.all() + 500, 1);
 }
 
+RC_GTEST_PROP(Trace, ComesBackAsItWasInEitherFormCompressedOrNot, ()) {
+    const std::vector<std::string> products{"lookup", "hold", "confirm \"x\""};
+    std::vector<Recorded> txns;
+    Micros at{};
+    for (int k = *rc::gen::inRange(1, 60); k > 0; --k) {
+        at += Micros(*rc::gen::inRange(0, 3)); // equal times, too
+        txns.push_back({at,
+                        {static_cast<std::uint16_t>(*rc::gen::inRange(0, 3))},
+                        *rc::gen::arbitrary<std::uint64_t>()});
+    }
+    for (const auto form : {TraceForm::Csv, TraceForm::JsonLines})
+        for (const bool compressed : {false, true}) {
+            const auto read = readTrace(writeTrace(txns, products, form, compressed), products);
+            RC_ASSERT(read.faults.empty());
+            RC_ASSERT(read.txns == txns);
+        }
+}
+
+TEST(Trace, EachLineThatCantBeUsedIsToldByItsNumberAndTheRestIsRead) {
+    const std::vector<std::string> products{"lookup"};
+    const auto read =
+        readTrace("at_us,product,caller\n5,lookup,1\r\n4,lookup,1\nx,lookup,1\n6,order,1\n7,lookup\n"
+                  "8,lookup,-1\n99999999999999,lookup,1\n-1,lookup,1\n\n5,lookup,2\n9,lookup,1,2\n9,lookup,3",
+                  products);
+    EXPECT_EQ(read.txns, (std::vector<Recorded>{{5us, {0}, 1}, {5us, {0}, 2}, {9us, {0}, 3}}));
+    std::vector<std::size_t> lines;
+    for (const auto& one : read.faults) lines.push_back(one.line);
+    EXPECT_EQ(lines, (std::vector<std::size_t>{3, 4, 5, 6, 7, 8, 9, 12}));
+    EXPECT_NE(read.faults[0].what.find("earlier"), std::string::npos);
+    EXPECT_NE(read.faults[2].what.find("'order'"), std::string::npos);
+    const auto lined = readTrace(
+        "{\"at_us\":1,\"product\":\"lookup\"}\n{\"at_us\":1.5,\"product\":\"lookup\"}\n{\"at_us\"\n{}\n",
+        products);
+    EXPECT_EQ(lined.txns.size(), 1U);
+    EXPECT_EQ(lined.faults.size(), 3U);
+    EXPECT_EQ(readTrace("", products).faults.size(), 1U);
+    EXPECT_EQ(readTrace(std::string(100, '\n') + std::string(9000, 'x'), products, 1).faults.size(), 1U);
+}
+
+TEST(Trace, ACompressedOneThatIsCutOrSpoiltIsAFaultAndNothingIsHalfRead) {
+    const std::vector<std::string> products{"lookup"};
+    const auto whole = writeTrace({{1us, {0}, 1}, {2us, {0}, 2}}, products, TraceForm::Csv, true);
+    for (std::size_t size = 4; size < whole.size(); ++size) {
+        const auto read = readTrace(whole.substr(0, size), products);
+        EXPECT_EQ(read.faults.size(), 1U) << size;
+        EXPECT_TRUE(read.txns.empty()) << size;
+    }
+}
+
 } // namespace
 } // namespace zincstack::load
