--- a/src/client/link.cpp
+++ b/src/client/link.cpp
@@ -8,8 +8,8 @@
 #include <chrono>
 #include <utility>
 
+#include "net/client.h"
 #include "net/fatal.h"
-#include "net/within.h"
 
 namespace zincstack::client {
 
@@ -23,12 +23,6 @@
 constexpr Micros kPulse = 250ms;                 // how often signs of life and silence are looked at
 constexpr std::size_t kWaitingMost = 256 * 1024; // said and not taken; a planner that reads nothing is left
 
-asio::awaitable<error_code> connecting(asio::ip::tcp::socket& socket, asio::ip::tcp::endpoint at) {
-    error_code error;
-    co_await socket.async_connect(at, asio::redirect_error(asio::use_awaitable, error));
-    co_return error;
-}
-
 } // namespace
 
 Link::Link(asio::io_context& io, std::vector<Endpoint> planners, Identity identity, const RedialTerms& terms,
@@ -101,10 +95,8 @@
 asio::awaitable<void> Link::converse(Endpoint at) {
     socket_ = asio::ip::tcp::socket(io_);
     waiting_.clear();
-    const auto connected = co_await net::within(kConnectMost, connecting(socket_, at));
-    if (!connected || *connected || stopped_) co_return;
-    error_code error;
-    socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    error_code error = co_await net::connectTo(socket_, at, kConnectMost);
+    if (error || stopped_) co_return;
     socket_.non_blocking(true, error);
     say(subscription_.connected(now()));
     pulse();
