--- a/src/client/link.cpp
+++ b/src/client/link.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <utility>
 
+#include "net/address.h"
 #include "net/client.h"
 #include "net/fatal.h"
 
@@ -118,8 +119,7 @@
         if (!up && subscription_.usable() && subscription_.state() != Subscription::State::Greeting) {
             up = true;
             ++streams_;
-            tell("planner " + subscription_.planner() + " at " + at.address().to_string() + ":" +
-                 std::to_string(at.port()));
+            tell("planner " + subscription_.planner() + " at " + net::textOf(at));
         }
     }
     pulse_.cancel();
--- a/src/command/run.cpp
+++ b/src/command/run.cpp
@@ -176,7 +176,7 @@
     });
     const auto at = listener->address();
     log::info("listening", {{"planner", station.name},
-                            {"address", at.address().to_string() + ":" + std::to_string(at.port())},
+                            {"address", net::textOf(at)},
                             {"products", start.products.size()},
                             {"zones", start.zoneNames.size()},
                             {"proxies", start.forwarders.count},
--- a/src/command/standin.cpp
+++ b/src/command/standin.cpp
@@ -49,9 +49,8 @@
     });
     standin::AgentDriver driver(io, *at, agent);
     driver.start();
-    log::info("standin_discovery", {{"address", driver.address().address().to_string() + ":" +
-                                                    std::to_string(driver.address().port())},
-                                    {"revision", agent.revision()}});
+    log::info("standin_discovery",
+              {{"address", net::textOf(driver.address())}, {"revision", agent.revision()}});
     asio::steady_timer timer(io);
     std::function<void()> look = [&] {
         timer.expires_after(kLook);
--- a/src/discovery/discovery_driver.cpp
+++ b/src/discovery/discovery_driver.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "log/log.h"
+#include "net/address.h"
 #include "net/client.h"
 #include "net/fatal.h"
 
@@ -47,8 +48,7 @@
         co_await converse();
         const bool came = watch_.answers() != before;
         if (std::exchange(answered, came) != came)
-            log::info(came ? "discovery_answers" : "discovery_silent",
-                      {{"address", at_.address().to_string() + ":" + std::to_string(at_.port())}});
+            log::info(came ? "discovery_answers" : "discovery_silent", {{"address", net::textOf(at_)}});
         if (moves != moves_)
             pace = kPaceLeast;
         else if (!came)
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -18,4 +18,8 @@
     return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
+    return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
 } // namespace zincstack::net
--- a/src/pubsub/channel.cpp
+++ b/src/pubsub/channel.cpp
@@ -9,14 +9,6 @@
 
 namespace zincstack::pubsub {
 
-namespace {
-
-std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
-    return at.address().to_string() + ":" + std::to_string(at.port());
-}
-
-} // namespace
-
 Channel::Channel(boost::asio::io_context& io, net::Counters& counters, net::BufferPool& pool,
                  std::function<std::unique_ptr<Hub>()> makeHub, Micros beat)
     : io_(io), counters_(counters), pool_(pool), makeHub_(std::move(makeHub)), gap_(beat / Hub::kTurns),
@@ -42,7 +34,7 @@
     }
     if (listener_) {
         log::info("channel_off",
-                  {{"address", textOf(listener_->address())}, {"subscribers", hub_->subscribers()}});
+                  {{"address", net::textOf(listener_->address())}, {"subscribers", hub_->subscribers()}});
         hub_->off();
         listener_->stop();
         turns_.cancel();
@@ -54,7 +46,7 @@
     hub_->on();
     listener_->start();
     turn();
-    log::info("channel_on", {{"address", textOf(listener_->address())},
+    log::info("channel_on", {{"address", net::textOf(listener_->address())},
                              {"epoch", hub_->epoch().value},
                              {"subscribers_most", place->subscribers}});
 }
