--- a/src/discovery/discovery_driver.cpp
+++ b/src/discovery/discovery_driver.cpp
@@ -65,15 +65,17 @@
     socket_ = asio::ip::tcp::socket(io_);
     if (!block || co_await connectTo(socket_, at_, kConnectMost) || moves != moves_) co_return;
     std::string request = watch_.connected();
+    Steady::time_point due{};
     while (watch_.usable()) {
         if (!request.empty()) {
             co_await pauseUntil(calledAt_ + kCallGap);
             if (moves != moves_) co_return;
             calledAt_ = Steady::now();
+            due = calledAt_ + watch_.patience();
             error = co_await writeAll(socket_, request);
         }
         std::size_t got = 0;
-        if (!error) got = co_await readPiece(socket_, block, watch_.patience(), error);
+        if (!error) got = co_await readPiece(socket_, block, due, error);
         if (moves != moves_) co_return; // Guards against the old list in the new one's place.
         if (error) break;
         request = watch_.feed({block.data(), got});
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -10,8 +10,10 @@
 
 using namespace std::chrono_literals;
 
-// Transport limits: how long discovery is asked to hold a watch, and how late any answer may be.
-constexpr Micros kWatchFor = 10s, kAnswerMost = 1500ms;
+// Transport limits: how long discovery is asked to hold a watch, and how late any answer may be. What is not heard
+// counts as told 6 s later: a watch that has gone dead is given up, and the next call answered, before that.
+constexpr Micros kWatchFor = 2s, kAnswerMost = 1500ms;
+constexpr int kOlderMost = 10; // answers of an older version in a row: by now it is another count
 
 } // namespace
 
@@ -21,6 +23,7 @@
     {State::AskedWhole, Input::List, State::Watching, Effect::AskNewer},
     {State::Watching, Input::List, State::Watching, Effect::AskNewer},
     {State::Any, Input::Unusable, State::Apart, Effect::LeaveAndForget},
+    {State::Any, Input::Older, State::Apart, Effect::Leave},
     {State::Any, Input::Lost, State::Apart, Effect::Leave},
     {State::Any, Input::Moved, State::Apart, Effect::Forget},
 };
@@ -36,15 +39,13 @@
     const std::size_t taken = response_.feed(bytes);
     if (response_.broken() || (response_.done() && taken != bytes.size())) return step(Input::Unusable);
     if (!response_.done()) return {};
-    if (!answer()) return step(Input::Unusable);
-    if (!response_.keepsOpen()) return step(Input::Lost);
-    return step(Input::List);
+    const Input input = answer();
+    return step(input == Input::List && !response_.keepsOpen() ? Input::Lost : input);
 }
 
 void DiscoveryWatch::lost() {
     response_.ended();
-    if (usable() && response_.done() && !answer()) counters_.passedOver(Count::ListsFailed, "answer");
-    step(Input::Lost);
+    step(usable() && response_.done() && answer() == Input::Unusable ? Input::Unusable : Input::Lost);
 }
 
 void DiscoveryWatch::moved(std::string host) {
@@ -78,24 +79,31 @@
     return "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n";
 }
 
-/// Passes a list on; false where it can't be used, and then the old one holds.
-bool DiscoveryWatch::answer() {
-    if (response_.status() != 200) return false;
+/// Passes a list on; where it can't be used the old one holds. Guards against a version that is older than the one
+/// that is known: a server that drains by now would be taken for ready.
+DiscoveryWatch::Input DiscoveryWatch::answer() {
+    if (response_.status() != 200) return Input::Unusable;
     try {
         const json::Value all = json::read(response_.body());
         const json::Value &revision = json::member(all, "revision"),
                           &complete = json::member(all, "complete"), &members = json::member(all, "members");
-        if (!revision.is_number() || !complete.is_boolean() || !members.is_array()) return false;
-        const bool whole = complete.get<bool>();
+        if (!revision.is_number() || !complete.is_boolean() || !members.is_array()) return Input::Unusable;
+        if (revision_ && revision.get<double>() < version_ && ++older_ < kOlderMost) {
+            counters_.passedOver(Count::ListsFailed, "version " + revision.dump() + " after " + *revision_);
+            return Input::Older;
+        }
+        const bool whole = complete.get<bool>(), anew = std::exchange(older_, 0) >= kOlderMost;
+        if (anew && !whole) return Input::Unusable; // changes to a list that is not known
         if ((whole || !members.empty()) && !told_(whole ? ListNews::Whole : ListNews::Changes, members))
-            return false;
+            return Input::Unusable;
         counters_.add(whole ? Count::ListsWhole : Count::ListsChanged);
         revision_ = revision.dump();
+        version_ = revision.get<double>();
         ++answers_;
-        return true;
+        return Input::List;
     } catch (const Malformed& error) {
         counters_.passedOver(Count::ListsFailed, error.what());
-        return false;
+        return Input::Unusable;
     }
 }
 
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -39,7 +39,7 @@
 
 private:
     enum class State { Apart, AskedWhole, Watching, Any };
-    enum class Input { Connected, ConnectedKnowing, List, Unusable, Lost, Moved };
+    enum class Input { Connected, ConnectedKnowing, List, Older, Unusable, Lost, Moved };
     enum class Effect { AskWhole, AskNewer, Leave, LeaveAndForget, Forget };
     struct Row {
         State state;
@@ -50,7 +50,7 @@
     static const Row kRows[];
 
     std::string step(Input input);
-    bool answer();
+    Input answer();
 
     std::string host_;
     Told told_;
@@ -58,7 +58,9 @@
     const std::size_t answerMost_;
     State state_ = State::Apart;
     HttpResponse response_{answerMost_};
-    std::optional<std::string> revision_;
+    std::optional<std::string> revision_; // as it came, and as a figure
+    double version_ = 0;
+    int older_ = 0; // answers of an older version in a row
     std::uint64_t answers_ = 0;
 };
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -62,7 +62,8 @@
     if (now - openedAt_ > most_ + kLate) counters_.add(Count::LateBatches);
     planner_.begin(now);
     planner_.decide();
-    book_.flush(now);
+    if (const auto cost = book_.flush(now))
+        planner_.written(cost->mark, static_cast<double>(cost->lines), static_cast<double>(cost->messages));
 }
 
 void Engine::wakeAfter(Micros span) {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -17,9 +18,11 @@
                                                             boost::asio::ip::tcp::endpoint at, Micros most);
 boost::asio::awaitable<boost::system::error_code> writeAll(boost::asio::ip::tcp::socket& socket,
                                                            const std::string& bytes);
-/// The bytes read into the block; an error at the end of the stream or once the time is over.
+/// The bytes read into the block; an error at the end of the stream or once the time is over. The time is that of
+/// a whole answer: it does not start anew with each piece.
 boost::asio::awaitable<std::size_t> readPiece(boost::asio::ip::tcp::socket& socket,
-                                              const BufferPool::Lease& block, Micros most,
+                                              const BufferPool::Lease& block,
+                                              std::chrono::steady_clock::time_point until,
                                               boost::system::error_code& error);
 
 } // namespace zincstack::net
--- a/src/orders/front.h
+++ b/src/orders/front.h
@@ -23,6 +23,10 @@
     virtual void replaced(ProxyId proxy) = 0;
     /// The batch of orders is complete.
     virtual void flush() = 0;
+    /// Lets back at its proxy what earlier streams may have shut out; false where there is nothing.
+    virtual bool letBack(ProxyId) { return false; }
+    /// All of a batch is written when it is flushed.
+    virtual bool writesAtOnce() const { return false; }
 };
 
 } // namespace zincstack::orders
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -60,6 +60,7 @@
     const auto found = members_.find(proxy);
     counters_.holds(found != members_.end());
     if (found == members_.end()) return;
+    if (cost_ && cost_->mark == number) cost_->lines += lines, ++cost_->messages;
     found->second.unanswered.push_back({number, lines, now_});
     onTheirWay_ += lines;
     if (found->second.unanswered.size() > kMarksMost) release(found->second, 1);
@@ -133,6 +134,7 @@
 }
 
 void OrderBook::mark(MarkId number, bool everyProxy) {
+    cost_ = Cost{number};
     for (auto* front : fronts_) front->marked(number, everyProxy);
 }
 
@@ -143,9 +145,14 @@
     return true;
 }
 
+bool OrderBook::letBack(ProxyId proxy) {
+    const auto found = members_.find(proxy);
+    return found != members_.end() && found->second.front->letBack(proxy);
+}
+
 void OrderBook::log(std::string_view line) { log::info("planner", {{"says", line}}); }
 
-void OrderBook::flush(Micros now) {
+std::optional<OrderBook::Cost> OrderBook::flush(Micros now) {
     now_ = now;
     for (auto& [id, member] : members_)
         for (Sent& one : member.unanswered) {
@@ -153,6 +160,9 @@
             onTheirWay_ -= std::exchange(one.lines, 0);
         }
     for (auto* front : fronts_) front->flush();
+    const auto cost = std::exchange(cost_, std::nullopt);
+    const bool whole = std::ranges::all_of(members_, [](auto& one) { return one.second.front->writesAtOnce(); });
+    return whole ? cost : std::nullopt;
 }
 
 } // namespace zincstack::orders
--- a/src/orders/order_book.h
+++ b/src/orders/order_book.h
@@ -71,8 +71,13 @@
     bool mayPick(ProxyId proxy, ServerId server) const;
     ProductSet everyProduct() const { return static_cast<ProductSet>((1U << names_.products()) - 1); }
 
-    /// Every front writes what was ordered in this batch.
-    void flush(Micros now);
+    /// What the messages of a batch took, heads not counted.
+    struct Cost {
+        MarkId mark;
+        std::size_t lines = 0, messages = 0;
+    };
+    /// Every front writes what was ordered in this batch. What it took, where all of it is written by now.
+    std::optional<Cost> flush(Micros now);
 
     // -- orders --
     void setLine(TableId table, ServerId server, double weight) override;
@@ -86,6 +91,7 @@
     void log(std::string_view line) override;
     /// A binding lets back what its stream was not told of, so nothing need be known of who has ended.
     bool forget(ServerId server) override;
+    bool letBack(ProxyId proxy) override;
 
 private:
     struct Sent {
@@ -111,6 +117,7 @@
     std::set<ServerId> withdrawn_;
     std::map<ProxyId, Member> members_;
     std::size_t onTheirWay_ = 0;
+    std::optional<Cost> cost_; // of the batch that was marked last, until it is flushed
     Micros now_{};
 };
 
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -343,6 +343,16 @@
         }
     }
 
+    /// Servers that earlier planners withdrew from old tables are let back where bound, once all else is done: most
+    /// of these lines change nothing, and a table without them is short of a few servers at worst.
+    void letBack(const Servers& servers) {
+        for (auto& [id, proxy] : proxies) {
+            if (!proxy.bound || std::exchange(proxy.cleared, true) || !sink.letBack(id)) continue;
+            outbox.stage(proxy, servers.sum([&](Index s) { return targetOf(servers, s) > 0; }));
+            if (spare(kIdle) <= 0) return;
+        }
+    }
+
     /// Closes the message of every proxy that something was ordered for with a mark; marks wrap under 65536.
     std::optional<MarkId> send(Micros now) {
         if (outbox.stagedLines <= 0) return {};
@@ -460,15 +470,16 @@
     OrderSink& sink;
     std::vector<Table> tables;
     Phase phase = Phase::Idle;
-    Micros windowAt{}, sentAt{}, againAt{};
-    bool newcomers = false; // that withdrawals were not ordered for
+    Micros batchAt{}, windowAt{}, sentAt{}, againAt{};
     std::optional<MarkId> mark = {};
 
     /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
     void urgent(bool idle, Micros now) {
         const auto each = static_cast<double>(proxies.size()) * (2 + channel.terms.headLines); // a message
         // Those who joined since may hold ended servers, and hundreds can't be bound within the grace.
-        const bool again = newcomers && now - againAt >= kWindow;
+        const Micros newest = newcomer();
+        const bool again = now - againAt >= kWindow;
+        if (again) againAt = now;
         for (Index s = 0; s < servers.size(); ++s) {
             // Guards against growth, and lines for each that joins: no old table is as old as its end.
             const bool past = servers.duty[s] == Ended && servers.withdrawn[s] && !servers.forgotten[s] &&
@@ -476,7 +487,10 @@
             const auto free = [&](const Table& table) { return table.standing[s] <= 0; };
             if (past && std::ranges::all_of(tables, free) && sink.forget(servers.id[s])) servers.forget(s);
             if (servers.forgotten[s]) continue;
-            if (again && servers.withdrawn[s] && channel.room() >= each) withdraw(s, true);
+            const bool ended = servers.duty[s] == Ended; // the sick may wait: no rule ends with them
+            if (again && servers.withdrawn[s] && newest > servers.withdrawnAt[s] && (ended || idle) &&
+                channel.room() >= each)
+                withdraw(s, true);
             const bool out = !servers.serves(s) && !servers.withdrawn[s];
             const bool lowered = health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs);
             for (auto& table : tables)
@@ -487,7 +501,6 @@
             const bool sick = servers.duty[s] == ShutOut && servers.outShare(servers.zone[s]) >= kWorn;
             if (out && !sick && channel.room() >= each) withdraw(s, true);
         }
-        if (again) againAt = now, newcomers = channel.room() < each;
         // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
         for (auto& table : tables)
             if (servers.sum([&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
@@ -495,6 +508,14 @@
                     if (target(table, s) > 0 && channel.room() >= each) line(table, s);
     }
 
+    /// When the last of those joined that keep an old table: it may name what was withdrawn before.
+    Micros newcomer() const {
+        Micros newest{-1};
+        for (const auto& [id, proxy] : proxies)
+            if (!proxy.bound) newest = std::max(newest, proxy.joinedAt);
+        return newest;
+    }
+
     void play(Micros now) {
         for (bool moved = true; moved;) {
             moved = false;
@@ -527,10 +548,12 @@
         });
     }
     void withdraw(Index s, bool out) {
+        const bool again = out && servers.withdrawn[s];
         sink.withdraw(servers.id[s], out);
         servers.withdrawn[s] = out;
         const double named = kOldLines * channel.standingLines / static_cast<double>(servers.known());
-        channel.outbox.chargeOld(std::min(1.0, named));
+        channel.outbox.chargeOld(std::min(1.0, named), again ? servers.withdrawnAt[s] : -1us);
+        servers.withdrawnAt[s] = batchAt;
     }
     void line(Table& table, Index s) {
         table.standing[s] = target(table, s);
@@ -645,9 +668,8 @@
     void joined(ProxyId id, ZoneId zone, double usualRate, bool onlyStanding) override {
         const Index products = levels_.products.size();
         left(id);
-        rounds_.newcomers = true;
         proxies_[id] = {zone, false, onlyStanding,
-                        std::vector<double>(products, usualRate / static_cast<double>(products))};
+                        std::vector<double>(products, usualRate / static_cast<double>(products)), 0, {}, now_};
     }
     void left(ProxyId id) override { channel_.outbox.left(id); }
     void sums(const ServerSums& line) override { health_.sums(line); }
@@ -660,6 +682,9 @@
         rate = heard + std::pow(kUsageFade, seconds(line.span)) * (rate - heard);
     }
     void applied(ProxyId id, MarkId number) override { channel_.outbox.applied(id, number); }
+    void written(MarkId number, double lines, double messages) override {
+        channel_.outbox.written(number, lines, messages);
+    }
     void probed(const ProbeResult& result) override { health_.probed(result, now_); }
     void woken() override { awake_ = false; }
 
@@ -680,6 +705,7 @@
             table.used =
                 std::ranges::any_of(proxies_, [&](auto& one) { return one.second.zone == table.zone; });
         }
+        rounds_.batchAt = now_;
         const double half = channel_.spare(kBatch) / 2;
         if (half > 0) rounds_.urgent(idle, now_);
         // Guards against old tables that run out of servers while urgent orders take the whole channel.
@@ -690,6 +716,7 @@
             rounds_.play(now_);
             levels_.order(rounds_.tables, proxies_, channel_);
             channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch));
+            if (channel_.spare(kIdle) > 0) channel_.letBack(servers_);
         }
         if (const auto mark = channel_.send(now_); rounds_.sentAt == now_) rounds_.mark = mark;
     }
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -143,6 +143,9 @@
     /// The planner would know nothing more of a server that has ended. False: withdrawals can't be taken back
     /// for a server that is named anew, so it has to remember.
     virtual bool forget(ServerId) { return false; }
+    /// Lets back at a bound proxy those of its tables' servers that an earlier stream may have shut out there: a
+    /// line each. False: there is none.
+    virtual bool letBack(ProxyId) { return false; }
 };
 
 class Planner {
@@ -157,6 +160,8 @@
     virtual void sums(const ServerSums& line) = 0;
     virtual void usage(const UsageSums& line) = 0;
     virtual void applied(ProxyId proxy, MarkId number) = 0;
+    /// What the messages with that mark took, where the caller can tell: lines without the heads, and messages.
+    virtual void written(MarkId, double, double) {}
     virtual void probed(const ProbeResult& result) = 0;
     virtual void woken() = 0;
     /// Closes the batch: what follows from it is ordered now.
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -53,7 +53,7 @@
     std::vector<ServerId> id;
     std::vector<ZoneId> zone;
     std::vector<Duty> duty;
-    std::vector<Micros> startedAt, probeDue, heldUntil, changedAt;
+    std::vector<Micros> startedAt, probeDue, heldUntil, changedAt, withdrawnAt;
     std::vector<int> rung, goodProbes;
     std::vector<char> withdrawn, probing, heard, eased, forgotten; // withdrawn: ordered out of all tables
     std::vector<double> listed, tries, unanswered, delay, pressed, load, linesThen, triedThen;
@@ -70,7 +70,7 @@
         if (next < size()) spare.pop_back();
         put(zone, entry.zone);
         put(duty, Duty::Ended);
-        for (auto* one : {&startedAt, &probeDue, &heldUntil, &changedAt}) put(*one, Micros{});
+        for (auto* one : {&startedAt, &probeDue, &heldUntil, &changedAt, &withdrawnAt}) put(*one, Micros{});
         for (auto* one : {&rung, &goodProbes}) put(*one, 0);
         for (auto* one : {&withdrawn, &probing, &heard, &eased, &forgotten}) put(*one, char{0});
         for (auto* one : {&listed, &tries, &unanswered, &delay, &pressed, &load, &linesThen, &triedThen})
@@ -112,6 +112,8 @@
     std::vector<double> usage;                          // txns a second by product
     double staged = 0;                                  // lines of the message now being put together
     std::deque<std::pair<MarkId, double>> waiting = {}; // lines of each message without an answer
+    Micros joinedAt{};
+    bool cleared = false; // let back is what earlier planners withdrew
     double rate() const { return std::accumulate(usage.begin(), usage.end(), 0.0); }
 };
 using Proxies = std::map<ProxyId, Proxy>;
@@ -151,6 +153,8 @@
         Micros sentAt;
         double lines;  // that may still wait in the channel
         Index awaited; // bound proxies whose answer is missing
+        Index old = 0; // messages to others without an answer, where that is told, and what each takes
+        double oldEach = 0;
     };
     Proxies& proxies;
     const double headLines; // of a message; its mark is a line more
@@ -170,9 +174,10 @@
             if (table.serves(proxy)) stage(proxy, lines);
     }
     /// For those that keep an old table: a standing one names a server with this chance, a whole one surely.
-    void chargeOld(double named) {
+    /// Only for those that joined since they were last told the same.
+    void chargeOld(double named, Micros since) {
         for (auto& [id, proxy] : proxies) {
-            if (proxy.bound) continue;
+            if (proxy.bound || proxy.joinedAt <= since) continue;
             if (proxy.onlyStanding)
                 stagedLines += named * (headLines + 2);
             else
@@ -196,12 +201,29 @@
         for (auto one = batches.begin(); one != newest; ++one) one->lines = 0;
         auto& waiting = found->second.waiting;
         const auto at = std::ranges::find(waiting, number, &std::pair<MarkId, double>::first);
+        if (at == waiting.end() && newest->old > 0)
+            newest->lines = --newest->old + newest->awaited ? std::max(newest->lines - newest->oldEach, 0.0) : 0;
         if (at == waiting.end()) return;
         for (auto one = waiting.begin(); one != at + 1; ++one)
             if (Batch* batch = find(one->first))
                 batch->lines = --batch->awaited ? std::max(batch->lines - one->second, 0.0) : 0;
         waiting.erase(waiting.begin(), at + 1);
     }
+    /// What a batch took in fact takes the place of what was reckoned.
+    void written(MarkId number, double lines, double messages) {
+        Batch* batch = find(number);
+        if (!batch || batch->lines <= 0) return;
+        const double scale = (lines + messages * headLines) / batch->lines;
+        batch->lines *= scale;
+        double bound = 0;
+        for (auto& [id, proxy] : proxies)
+            if (!proxy.waiting.empty() && proxy.waiting.back().first == number)
+                bound += proxy.waiting.back().second *= scale;
+        const auto all = static_cast<Index>(messages);
+        if (all <= batch->awaited) return;
+        batch->old = all - batch->awaited;
+        batch->oldEach = std::max(batch->lines - bound, 0.0) / static_cast<double>(batch->old);
+    }
     void left(ProxyId id) { // what was on its way to it may still wait
         const auto found = proxies.find(id);
         if (found == proxies.end()) return;
--- a/src/platform/intake.cpp
+++ b/src/platform/intake.cpp
@@ -115,50 +115,57 @@
     engine_.input().usage({*proxy, *product, *tries, *failed, *span});
 }
 
+/// Guards against one spoilt entry that keeps a drain beside it from being heard: the sound ones are passed on, and
+/// then as changes, since who is missing may be the one that can't be read.
 bool Intake::list(ListNews news, const json::Value& members) {
     std::vector<ListedServer> entries;
-    std::vector<std::string_view> addresses;
-    for (const json::Value& member : members) {
+    bool sound = true;
+    for (std::size_t k = 0; k < members.size(); ++k) {
         ListedServer one;
         std::string_view address;
-        if (!entry(member, one, address)) {
-            const auto* name = json::textOf(member, "id");
-            counters_.passedOver(Count::BadEntry, name ? *name : "an entry without a name");
-            return false;
+        const json::Value& member = members[k];
+        const auto* name = json::textOf(member, "id");
+        if (const char* field = entry(member, one, address)) {
+            counters_.passedOver(Count::BadEntry, "members[" + std::to_string(k) + "]" +
+                                                      (name ? " '" + *name + "'" : std::string{}) +
+                                                      ": the field " + field + " can't be used");
+            sound = false;
+            continue;
         }
+        one.id = names_.listed(*name);
+        if (!address.empty()) names_.moved(one.id, address);
         entries.push_back(one);
-        addresses.push_back(address);
-    }
-    for (std::size_t k = 0; k < entries.size(); ++k) {
-        entries[k].id = names_.listed(*json::textOf(members[k], "id"));
-        if (!addresses[k].empty()) names_.moved(entries[k].id, addresses[k]);
     }
-    engine_.input().list(news, entries);
-    return true;
+    if (sound)
+        engine_.input().list(news, entries);
+    else if (!entries.empty())
+        engine_.input().list(news == ListNews::Whole ? ListNews::Changes : news, entries);
+    return sound;
 }
 
-/// One that is gone needs no more than its name.
-bool Intake::entry(const json::Value& member, ListedServer& into, std::string_view& address) {
+/// The field that can't be used; none where the entry is sound. One that is gone needs no more than its name.
+const char* Intake::entry(const json::Value& member, ListedServer& into, std::string_view& address) {
     static constexpr std::pair<std::string_view, ListedState> kPhases[] = {
         {"Gone", ListedState::Gone}, {"Ready", ListedState::Ready}, {"Terminating", ListedState::Draining}};
     const auto* name = json::textOf(member, "id");
     const auto* phase = json::textOf(member, "phase");
-    if (!name || name->empty() || !phase) return false;
+    if (!name || name->empty()) return "id";
+    if (!phase) return "phase";
     const auto state = std::ranges::find(kPhases, *phase, &std::pair<std::string_view, ListedState>::first);
-    if (state == std::end(kPhases)) return false;
+    if (state == std::end(kPhases)) return "phase";
     into.state = state->second;
     const bool gone = into.state == ListedState::Gone;
 
     if (const auto* text = json::textOf(member, "host_port"))
         address = *text;
     else if (!gone)
-        return false;
+        return "host_port";
     const auto* locality = json::textOf(member, "locality");
     const auto zone = locality ? names_.zone(*locality) : std::nullopt;
     if (zone)
         into.zone = *zone;
     else if (!gone)
-        return false;
+        return "locality";
     const auto figure = [&](const char* field, double absent) -> std::optional<double> {
         const json::Value& value = json::member(member, field);
         if (value.is_null()) return absent;
@@ -167,11 +174,13 @@
     };
     constexpr double kMillisMost = 1e13;
     const auto since = figure("up_since_ms", 0), size = figure("size", 1), pod = figure("cell", 0);
-    if (!since || !size || !pod || *since > kMillisMost || *pod > 65535) return false;
+    if (!since || *since > kMillisMost) return "up_since_ms";
+    if (!size) return "size";
+    if (!pod || *pod > 65535) return "cell";
     into.startedAt = Micros(std::llround(*since * 1e3));
     into.weight = *size;
     into.pod = {static_cast<std::uint16_t>(*pod)};
-    return true;
+    return nullptr;
 }
 
 std::optional<LoadReport> Intake::report(std::string_view text, char pairMark, char separator) {
--- a/src/platform/intake.h
+++ b/src/platform/intake.h
@@ -27,13 +27,13 @@
     void outcomes(const Message& message);
     /// `stream`: the proxy on whose own stream it came; none if a collector brought it.
     void demand(const Message& message, std::optional<ProxyId> stream);
-    /// False where an entry can't be used: nothing was passed on.
+    /// False where an entry can't be used: the others were passed on, as changes.
     bool list(ListNews news, const json::Value& members);
     void probed(ServerId server, ProbeStatus status, Micros delay, std::string_view body);
 
 private:
     std::optional<ProxyId> proxyOf(const Message& message) const;
-    bool entry(const json::Value& member, ListedServer& into, std::string_view& address);
+    const char* entry(const json::Value& member, ListedServer& into, std::string_view& address);
     static std::optional<Micros> spanOf(const Message& message, std::string_view name);
     /// None where a figure is none.
     static std::optional<LoadReport> report(std::string_view text, char pairMark, char separator);
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -86,6 +86,17 @@
     }
 }
 
+bool Outbox::letBack(ProxyId proxy) {
+    const auto found = held_.find(proxy);
+    if (found == held_.end()) return false;
+    Held& held = found->second;
+    const auto before = held.letNow.size();
+    for (const TableId table : book_.tablesOf(proxy))
+        for (const auto& [server, weight] : book_.table(table).lines)
+            if (!held.shut.contains(server) && !book_.withdrawnServers().contains(server)) tell(held, server, false);
+    return held.letNow.size() != before;
+}
+
 void Outbox::flush() {
     for (auto& [id, held] : held_) {
         if (held.behind && held.stream->idle()) resync(id, held);
@@ -105,8 +116,10 @@
                 if (const auto level = book_.levelAt(table, {p}); level && (part.products >> p & 1U))
                     part.levels[{p}] = *level;
         }
-        for (const auto& [server, weight] : part.lines)
-            if (weight > 0) tell(held, server, book_.withdrawnServers().contains(server));
+        for (const auto& [server, weight] : part.lines) {
+            const bool shut = book_.withdrawnServers().contains(server);
+            if (weight > 0 && (shut || held.shut.contains(server))) tell(held, server, shut);
+        }
         out.tables.push_back(std::move(part));
     }
     if (!held.loose.empty()) out.tables.push_back({book_.everyProduct(), false, {}, std::move(held.loose)});
@@ -130,11 +143,12 @@
     held.mark.reset();
 }
 
-/// What was told on the stream is not known any more, as after a new one.
+/// What was told on the stream is not known any more: all that may have been is said again.
 void Outbox::resync(ProxyId proxy, Held& held) {
     counters_.add(Count::Resyncs);
     held.behind = false;
-    held.shut.clear();
+    for (const auto& [server, before] : std::exchange(held.shut, {}))
+        tell(held, server, book_.withdrawnServers().contains(server));
     for (const TableId table : book_.tablesOf(proxy)) held.parts[table].whole = true;
     for (const ServerId server : book_.withdrawnServers())
         if (book_.mayPick(proxy, server)) tell(held, server, true);
--- a/src/platform/outbox.h
+++ b/src/platform/outbox.h
@@ -35,6 +35,8 @@
     void forgotten(ServerId server) override;
     void replaced(ProxyId proxy) override;
     void flush() override;
+    bool letBack(ProxyId proxy) override;
+    bool writesAtOnce() const override { return true; }
 
 private:
     struct Held { // of one stream
--- a/src/platform/prober.cpp
+++ b/src/platform/prober.cpp
@@ -3,14 +3,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 
-#include <chrono>
+#include <algorithm>
 #include <utility>
 
 #include "http/http_response.h"
 #include "net/address.h"
 #include "net/client.h"
 #include "net/fatal.h"
-#include "net/within.h"
 
 namespace zincstack::net {
 
@@ -18,7 +17,6 @@
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
-using Steady = std::chrono::steady_clock;
 
 constexpr std::size_t kBodyMost = 64 * 1024;
 constexpr Micros kAnswerMost = 500ms;  // no answer after that
@@ -44,17 +42,16 @@
     ++running_;
     counters_.add(Count::ProbesSent);
     const auto start = Steady::now();
-    auto found = co_await within(kAnswerMost, ask(names_.address(server)));
+    const Found seen = co_await ask(names_.address(server), start + kAnswerMost);
     --running_;
-    const auto delay = std::chrono::duration_cast<Micros>(Steady::now() - start);
-    const Found& seen = found ? *found : Found{ProbeStatus::TimedOut, {}};
-    intake_.probed(server, seen.status, delay, seen.body);
+    intake_.probed(server, seen.status, std::chrono::duration_cast<Micros>(Steady::now() - start), seen.body);
 }
 
-asio::awaitable<Prober::Found> Prober::ask(std::string address) {
+asio::awaitable<Prober::Found> Prober::ask(std::string address, Steady::time_point until) {
     const auto at = parseAddress(address);
     asio::ip::tcp::socket socket(io_);
-    if (!at || co_await connectTo(socket, *at, connectMost_)) co_return Found{ProbeStatus::Unreachable, {}};
+    if (!at || co_await connectTo(socket, *at, std::min(connectMost_, kAnswerMost)))
+        co_return Found{ProbeStatus::Unreachable, {}};
     const auto block = pool_.take();
     if (!block) co_return Found{ProbeStatus::Rejected, {}};
     const std::string request =
@@ -63,7 +60,8 @@
     HttpResponse response(kBodyMost);
     while (!response.done() && !response.broken()) {
         boost::system::error_code error;
-        const std::size_t got = co_await readPiece(socket, block, kAnswerMost, error);
+        const std::size_t got = co_await readPiece(socket, block, until, error);
+        if (error == asio::error::timed_out) co_return Found{ProbeStatus::TimedOut, {}};
         response.feed({block.data(), got});
         if (error) response.ended();
     }
--- a/src/platform/prober.h
+++ b/src/platform/prober.h
@@ -4,6 +4,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
+#include <string>
+
 #include "net/buffer_pool.h"
 #include "orders/names.h"
 #include "platform/intake.h"
@@ -22,7 +25,8 @@
         std::string body;
     };
     boost::asio::awaitable<void> run(ServerId server);
-    boost::asio::awaitable<Found> ask(std::string address);
+    using Steady = std::chrono::steady_clock;
+    boost::asio::awaitable<Found> ask(std::string address, Steady::time_point until);
 
     boost::asio::io_context& io_;
     const Names& names_;
