--- a/src/command/run.cpp
+++ b/src/command/run.cpp
@@ -30,6 +30,8 @@
 namespace {
 
 constexpr Micros kFirstListMost = 500ms; // then the list as last had must do
+constexpr Micros kReadAgain = 250ms;     // a file that was being replaced is read again, each time twice as late
+constexpr int kReadsMost = 4;            // after the first
 
 boost::asio::ip::tcp::endpoint addressOf(std::string_view field, const std::string& text) {
     const auto at = net::parseAddress(text);
@@ -76,8 +78,42 @@
     return pubsub::Channel::Place{channel->listen, channel->subscribers};
 }
 
+/// What a SIGHUP asks for, tried again for some seconds where it fails. Guards against a file that is absent or
+/// half-written as the signal comes: no second signal may follow.
+class Reload {
+public:
+    Reload(asio::io_context& io, net::Counters& counters, const char* what, std::function<void()> act)
+        : again_(io), counters_(counters), what_(what), act_(std::move(act)) {}
+
+    void asked() {
+        again_.cancel();
+        attempt(0);
+    }
+
+private:
+    void attempt(int before) {
+        try {
+            act_();
+            counters_.add(before == 0 ? net::Count::Reloads : net::Count::ReloadsLate);
+        } catch (const std::exception& error) {
+            if (before == 0)
+                counters_.passedOver(net::Count::ReloadsFailed, std::string(what_) + ": " + error.what());
+            if (before == kReadsMost) return;
+            again_.expires_after(kReadAgain * (1 << before));
+            again_.async_wait([this, before](const boost::system::error_code& stopped) {
+                if (!stopped) attempt(before + 1);
+            });
+        }
+    }
+
+    asio::steady_timer again_;
+    net::Counters& counters_;
+    const char* what_;
+    const std::function<void()> act_;
+};
+
 int serve(const net::Station& station, const terms::StartTerms& start, const terms::OperatorTerms& mine,
-          const std::string& operatorFile) {
+          const std::string& operatorFile, HeldSignals& held) {
     const auto listen = addressOf("listen", station.listen);
     const auto discovery = addressOf("discovery", station.discovery);
 
@@ -147,33 +183,25 @@
     onEach(end, [&] { io.stop(); });
     onEach(ask, [&] { tell(counters); });
     // Each file is taken or left as a whole; one that can't be used does not keep the other from being read.
-    const auto again = [&](const char* what, const std::function<void()>& act) {
-        try {
-            act();
-        } catch (const std::exception& error) {
-            counters.passedOver(net::Count::ReloadsFailed, std::string(what) + ": " + error.what());
-        }
-    };
+    Reload startFile(io, counters, "start file", [&] {
+        const net::Station anew = net::stationOfFileAnew();
+        driver.move(addressOf("discovery", anew.discovery), anew.discovery);
+        log::info("reload", {{"discovery", anew.discovery}});
+    });
+    Reload operators(io, counters, "operator's file", [&] {
+        const terms::OperatorTerms anew = terms::operatorTermsOfFile(operatorFile);
+        if (anew.channel && !mine.channel)
+            descriptorsLeft(station.sockets, anew.channel); // its places are beside those shared out at start
+        channel.be(placeOf(anew.channel));
+        startLog(anew.log);
+        log::info("reload",
+                  {{"operator", operatorFile}, {"channel", anew.channel ? anew.channel->listen : "off"}});
+    });
     onEach(reload, [&] {
-        again("start file", [&] {
-            const net::Station anew = net::stationOfFileAnew();
-            driver.move(addressOf("discovery", anew.discovery), anew.discovery);
-            counters.add(net::Count::Reloads);
-            log::info("reload", {{"discovery", anew.discovery}});
-        });
-        if (operatorFile.empty()) return;
-        again("operator's file", [&] {
-            const terms::OperatorTerms anew = terms::operatorTermsOfFile(operatorFile);
-            if (anew.channel && !mine.channel)
-                descriptorsLeft(station.sockets,
-                                anew.channel); // its places are beside those shared out at start
-            channel.be(placeOf(anew.channel));
-            startLog(anew.log);
-            counters.add(net::Count::Reloads);
-            log::info("reload",
-                      {{"operator", operatorFile}, {"channel", anew.channel ? anew.channel->listen : "off"}});
-        });
+        startFile.asked();
+        if (!operatorFile.empty()) operators.asked();
     });
+    held.letIn();
     const auto at = listener->address();
     log::info("listening", {{"planner", station.name},
                             {"address", net::textOf(at)},
@@ -189,6 +217,7 @@
         log::critical("ended_by_failure", {{"what", error.what()}});
         code = 1;
     }
+    held.hold(); // from here on no handler is left that could run
     tell(counters);
     if (code == 0) log::info("ended_on_signal");
     return code;
@@ -196,7 +225,7 @@
 
 } // namespace
 
-int run(const Run& order) {
+int run(const Run& order, HeldSignals& held) {
     startLog({});
     try {
         const terms::OperatorTerms mine = terms::operatorTermsOfFile(order.operatorFile);
@@ -204,7 +233,7 @@
         const net::Station station = net::stationOfEnvironment();
         const auto start = terms::readStartTerms(station.flat);
         for (const auto& line : start.notices) log::warn("start_terms", {{"notice", line}});
-        return serve(station, start, mine, order.operatorFile);
+        return serve(station, start, mine, order.operatorFile, held);
     } catch (const Malformed& error) {
         log::critical("unusable", {{"what", error.what()}});
         return 2;
--- a/src/command/run.h
+++ b/src/command/run.h
@@ -2,10 +2,11 @@
 #pragma once
 
 #include "command/command_line.h"
+#include "command/held_signals.h"
 
 namespace zincstack::command {
 
-/// Serves until a signal; the exit code. Throws Malformed where something given can't be used.
-int run(const Run& order);
+/// Serves until a signal; the exit code. The signals are let in once they are handled, and held again at the end.
+int run(const Run& order, HeldSignals& held);
 
 } // namespace zincstack::command
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,15 +12,17 @@
 
 int main(int count, char** words) {
     using namespace zincstack;
+    command::HeldSignals held; // first of all: a SIGHUP may come as soon as the process is there
     const auto read = command::read(count, words);
     if (const int* code = std::get_if<int>(&read)) return *code;
     const auto& order = std::get<command::Order>(read);
     try {
+        if (const auto* run = std::get_if<command::Run>(&order)) return command::run(*run, held);
+        held.letIn();
         if (const auto* check = std::get_if<command::Check>(&order)) return command::check(*check, std::cout);
         if (const auto* subscribe = std::get_if<command::Subscribe>(&order))
             return command::subscribe(*subscribe);
-        if (const auto* standin = std::get_if<command::Standin>(&order)) return command::standin(*standin);
-        return command::run(std::get<command::Run>(order));
+        return command::standin(std::get<command::Standin>(order));
     } catch (const Malformed& error) {
         std::fprintf(stderr, "zincstack: %s\n", error.what());
         return 2;
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -33,6 +33,7 @@
     ListsFailed,
     Reloads,
     ReloadsFailed,
+    ReloadsLate,
     ProbesSent,
     ProbesOk,
     ProbesError,
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <spawn.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -73,6 +74,9 @@
     void start(const std::string& listen, std::string_view discoveryField = "discovery",
                const std::string& operatorFile = {}) {
         post(listen, discoveryField, discovery.local_endpoint().port());
+        spawn(operatorFile);
+    }
+    void spawn(const std::string& operatorFile = {}) {
         int ends[2];
         ASSERT_EQ(pipe(ends), 0);
         posix_spawn_file_actions_t files;
@@ -192,6 +196,69 @@
     EXPECT_EQ(exitCode(), 0);
 }
 
+/// The start file is a pipe here, so that the test holds the program where it has begun to read it.
+struct Beginning : Daemon {
+    void SetUp() override { ASSERT_EQ(mkfifo(path.c_str(), 0600), 0); }
+    void postFor(std::uint16_t discoveryPort) { post("127.0.0.1:0", "discovery", discoveryPort); }
+    /// Opens as soon as the program opens its side.
+    void spawnAndSend(std::initializer_list<int> signals) {
+        spawn();
+        std::ofstream held(path);
+        for (const int one : signals) kill(pid, one);
+        postFor(discovery.local_endpoint().port());
+    }
+};
+
+/// A SIGHUP that came before its handler was set ended the program.
+TEST_F(Beginning, AReloadAskedForBeforeTheHandlersAreSetIsHeardAfterThem) {
+    spawnAndSend({SIGHUP, SIGHUP});
+    ASSERT_FALSE(logLine("listening").empty()); // the first reading is over
+    tcp::acceptor elsewhere{io, {asio::ip::address_v4::loopback(), 0}};
+    postFor(elsewhere.local_endpoint().port()); // it reads anew, once for both
+    ASSERT_FALSE(logLine("reload discovery=").empty());
+    Peer agent{tcp::socket(io), {}};
+    elsewhere.accept(agent.socket);
+    EXPECT_EQ(agent.until("\r\n"), "GET /api/targets HTTP/1.1\r\n");
+    kill(pid, SIGTERM);
+    EXPECT_EQ(exitCode(), 0);
+}
+
+TEST_F(Beginning, AnEndAskedForBeforeTheHandlersAreSetIsACleanEnd) {
+    spawnAndSend({SIGTERM, SIGTERM});
+    EXPECT_FALSE(logLine("ended_on_signal").empty());
+    EXPECT_EQ(exitCode(), 0);
+}
+
+/// All of them wait for the program as it goes on: the end is clean whichever is taken first.
+TEST_F(Daemon, ReloadsAroundAnEndAskedForTwiceAreACleanEnd) {
+    startAnywhere();
+    kill(pid, SIGSTOP);
+    for (const int one : {SIGHUP, SIGTERM, SIGTERM, SIGHUP, SIGUSR1}) kill(pid, one);
+    kill(pid, SIGCONT);
+    EXPECT_FALSE(logLine("ended_on_signal").empty());
+    for (int k = 0; k < 50; ++k) kill(pid, k % 2 ? SIGTERM : SIGHUP); // the loop has ended: no handler is left
+    EXPECT_EQ(exitCode(), 0);
+}
+
+/// A reload in the middle of the file's writing left the program at the old address for good.
+TEST_F(Daemon, AFileThatIsHalfWrittenAsTheSignalComesIsReadAgainWithoutAnother) {
+    const std::uint16_t port = startAnywhere();
+    Peer proxy = dial(port), anew{tcp::socket(io), {}};
+    std::ofstream(path) << "{\"name\":\"n1\",";
+    kill(pid, SIGHUP);
+    EXPECT_NE(logLine("reloads_failed").find("start file: JSON at offset"), std::string::npos);
+    tcp::acceptor elsewhere{io, {asio::ip::address_v4::loopback(), 0}};
+    const std::string place = std::exchange(path, path + ".new"); // put in its place at once, as tools do
+    post("127.0.0.1:0", "discovery", elsewhere.local_endpoint().port());
+    std::rename(path.c_str(), place.c_str());
+    path = place;
+    elsewhere.accept(anew.socket);
+    EXPECT_EQ(anew.until("\r\n"), "GET /api/targets HTTP/1.1\r\n");
+    kill(pid, SIGTERM);
+    EXPECT_NE(logLine(" counters ").find("reloads_failed=1 reloads_late=1"), std::string::npos);
+    EXPECT_EQ(exitCode(), 0);
+}
+
 TEST_F(Daemon, StartsOverUnderItsAddressAfterAKill) {
     const std::uint16_t port = startAnywhere();
     Peer before = dial(port);
