--- a/src/orders/names.h
+++ b/src/orders/names.h
@@ -1,8 +1,10 @@
 // Names of the wire and the ids that stand for them inside: products, zones, servers and their addresses.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -30,18 +32,25 @@
     ServerId listed(std::string_view name) {
         if (const auto known = server(name)) return *known;
         const ServerId id{next_++};
-        servers_.emplace(id, Server{std::string(name), {}});
+        servers_.emplace(id, Server{std::string(name), {}, forgotten_.contains(name)});
         index_.emplace(name, id);
         return id;
     }
     void moved(ServerId id, std::string_view address) { servers_.at(id).address = address; }
     void forget(ServerId id) {
         if (const auto at = servers_.find(id); at != servers_.end()) {
+            if (forgotten_.insert(at->second.name).second) oldest_.push_back(at->second.name);
+            if (oldest_.size() > kForgottenMost) forgotten_.erase(oldest_.front()), oldest_.pop_front();
             index_.erase(at->second.name);
             servers_.erase(at);
         }
     }
     const std::string& of(ServerId id) const { return servers_.at(id).name; }
+    /// It was forgotten before and is named anew, so streams may have been told of it under its former id.
+    bool returned(ServerId id) const {
+        const auto at = servers_.find(id);
+        return at != servers_.end() && at->second.returned;
+    }
     /// Empty where it is forgotten.
     std::string address(ServerId id) const {
         const auto at = servers_.find(id);
@@ -59,10 +68,14 @@
     }
     struct Server {
         std::string name, address;
+        bool returned = false;
     };
+    static constexpr std::size_t kForgottenMost = 2048; // names kept of servers that are forgotten
     std::vector<std::string> products_, zones_;
     std::map<ServerId, Server> servers_;
     std::uint64_t next_ = 0;
+    std::set<std::string, std::less<>> forgotten_;
+    std::deque<std::string> oldest_; // of them, first
     std::map<std::string, ServerId, std::less<>> index_;
 };
 
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -118,7 +118,8 @@
         }
         for (const auto& [server, weight] : part.lines) {
             const bool shut = book_.withdrawnServers().contains(server);
-            if (weight > 0 && (shut || held.shut.contains(server))) tell(held, server, shut);
+            if (weight > 0 && (shut || held.shut.contains(server) || names_.returned(server)))
+                tell(held, server, shut);
         }
         out.tables.push_back(std::move(part));
     }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -160,6 +160,9 @@
     odd.replace(odd.find("retryable"), 9, "sometimes");
     EXPECT_EQ(readStartText(odd).products.at(0).repeatable, Repeatable::OnceOnly);
     EXPECT_EQ(readStartText(odd).notices.size(), 1U);
+    odd.erase(odd.find("Classes.0.Effect="), std::string_view("Classes.0.Effect=sometimes\n").size());
+    EXPECT_EQ(readStartText(odd).products.at(0).repeatable, Repeatable::OnceOnly); // absent: the same
+    EXPECT_EQ(readStartText(odd).notices.size(), 1U);
 }
 
 } // namespace
