--- a/src/command/run.cpp
+++ b/src/command/run.cpp
@@ -30,8 +30,8 @@
 namespace {
 
 constexpr Micros kFirstListMost = 500ms; // then the list as last had must do
-constexpr Micros kReadAgain = 250ms;     // a file that was being replaced is read again, each time twice as late
-constexpr int kReadsMost = 4;            // after the first
+constexpr Micros kReadAgain = 250ms; // a file that was being replaced is read again, each time twice as late
+constexpr int kReadsMost = 4;        // after the first
 
 boost::asio::ip::tcp::endpoint addressOf(std::string_view field, const std::string& text) {
     const auto at = net::parseAddress(text);
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -161,7 +161,8 @@
         }
     for (auto* front : fronts_) front->flush();
     const auto cost = std::exchange(cost_, std::nullopt);
-    const bool whole = std::ranges::all_of(members_, [](auto& one) { return one.second.front->writesAtOnce(); });
+    const bool whole =
+        std::ranges::all_of(members_, [](auto& one) { return one.second.front->writesAtOnce(); });
     return whole ? cost : std::nullopt;
 }
 
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -343,8 +343,8 @@
         }
     }
 
-    /// Servers that earlier planners withdrew from old tables are let back where bound, once all else is done: most
-    /// of these lines change nothing, and a table without them is short of a few servers at worst.
+    /// Servers that earlier planners withdrew from old tables are let back where bound, once all else is done:
+    /// most of these lines change nothing, and a table without them is short of a few servers at worst.
     void letBack(const Servers& servers) {
         for (auto& [id, proxy] : proxies) {
             if (!proxy.bound || std::exchange(proxy.cleared, true) || !sink.letBack(id)) continue;
@@ -668,8 +668,8 @@
     void joined(ProxyId id, ZoneId zone, double usualRate, bool onlyStanding) override {
         const Index products = levels_.products.size();
         left(id);
-        proxies_[id] = {zone, false, onlyStanding,
-                        std::vector<double>(products, usualRate / static_cast<double>(products)), 0, {}, now_};
+        const std::vector<double> usage(products, usualRate / static_cast<double>(products));
+        proxies_[id] = {zone, false, onlyStanding, usage, 0, {}, now_};
     }
     void left(ProxyId id) override { channel_.outbox.left(id); }
     void sums(const ServerSums& line) override { health_.sums(line); }
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -202,7 +202,8 @@
         auto& waiting = found->second.waiting;
         const auto at = std::ranges::find(waiting, number, &std::pair<MarkId, double>::first);
         if (at == waiting.end() && newest->old > 0)
-            newest->lines = --newest->old + newest->awaited ? std::max(newest->lines - newest->oldEach, 0.0) : 0;
+            newest->lines =
+                --newest->old + newest->awaited ? std::max(newest->lines - newest->oldEach, 0.0) : 0;
         if (at == waiting.end()) return;
         for (auto one = waiting.begin(); one != at + 1; ++one)
             if (Batch* batch = find(one->first))
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -93,7 +93,8 @@
     const auto before = held.letNow.size();
     for (const TableId table : book_.tablesOf(proxy))
         for (const auto& [server, weight] : book_.table(table).lines)
-            if (!held.shut.contains(server) && !book_.withdrawnServers().contains(server)) tell(held, server, false);
+            if (!held.shut.contains(server) && !book_.withdrawnServers().contains(server))
+                tell(held, server, false);
     return held.letNow.size() != before;
 }
 
--- a/src/terms/start_terms.cpp
+++ b/src/terms/start_terms.cpp
@@ -138,7 +138,8 @@
         product.expiry = terms.time(path + "DeadlineS");
         product.revenue = terms.number(path + "Worth");
         product.lateRevenue = terms.numberOr(path + "LateWorth", 0);
-        const auto* effect = terms.find(path + "Effect"); // absent is as unknown: it may have run, so never again
+        const auto* effect =
+            terms.find(path + "Effect"); // absent is as unknown: it may have run, so never again
         product.repeatable = translate<Repeatable>(out, path + "Effect", effect ? *effect : "",
                                                    {{"retryable", Repeatable::InquiryLike},
                                                     {"dedup", Repeatable::Referenced},
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -236,7 +236,8 @@
     for (const int one : {SIGHUP, SIGTERM, SIGTERM, SIGHUP, SIGUSR1}) kill(pid, one);
     kill(pid, SIGCONT);
     EXPECT_FALSE(logLine("ended_on_signal").empty());
-    for (int k = 0; k < 50; ++k) kill(pid, k % 2 ? SIGTERM : SIGHUP); // the loop has ended: no handler is left
+    for (int k = 0; k < 50; ++k)
+        kill(pid, k % 2 ? SIGTERM : SIGHUP); // the loop has ended: no handler is left
     EXPECT_EQ(exitCode(), 0);
 }
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -119,8 +119,7 @@
     for (std::uint64_t step = 0; step < 3; ++step) {
         for (std::uint64_t s = 0; s < 9; ++s) world.news(step * 9 + s, ListedState::Draining);
         world.pass(1s);
-        for (std::uint64_t s = 0; s < 9; ++s)
-            world.news(100 + step * 9 + s, ListedState::Ready, world.now);
+        for (std::uint64_t s = 0; s < 9; ++s) world.news(100 + step * 9 + s, ListedState::Ready, world.now);
         world.pass(1200ms);
     }
     world.pass(4s);
--- a/tests/world.h
+++ b/tests/world.h
@@ -52,8 +52,9 @@
     std::unique_ptr<Planner> planner;
     Micros now{100s}, wakeAt{-1};
     double slow = 1;
-    bool forgets = false;   // as the front on sockets does
-    bool tellsOnce = false; // so too: what a stream was told is not said again, and what was written is counted
+    bool forgets = false; // as the front on sockets does
+    bool tellsOnce =
+        false; // so too: what a stream was told is not said again, and what was written is counted
     std::map<ServerId, Known> known;
     std::map<ProxyId, Held> proxies;
     std::map<ProxyId, TableId> assigned;
