--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -343,7 +343,7 @@
         }
     }
 
-    /// Servers that earlier planners withdrew from old tables are let back where bound, once all else is done:
+    /// Servers that earlier planners withdrew from old tables are let back where bound, once all is done:
     /// most of these lines change nothing, and a table without them is short of a few servers at worst.
     void letBack(const Servers& servers) {
         for (auto& [id, proxy] : proxies) {
