--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -207,7 +207,7 @@
         if (at == waiting.end()) return;
         for (auto one = waiting.begin(); one != at + 1; ++one)
             if (Batch* batch = find(one->first))
-                batch->lines = --batch->awaited ? std::max(batch->lines - one->second, 0.0) : 0;
+                batch->lines = --batch->awaited + batch->old ? std::max(batch->lines - one->second, 0.0) : 0;
         waiting.erase(waiting.begin(), at + 1);
     }
     /// What a batch took in fact takes the place of what was reckoned.
@@ -235,7 +235,7 @@
     /// Drops what was sent before `all`, and before `unasked` if no bound proxy is left to answer.
     void forget(Micros all, Micros unasked) {
         std::erase_if(batches, [&](const Batch& one) {
-            return one.sentAt < all || (one.awaited == 0 && one.sentAt < unasked);
+            return one.sentAt < all || (one.awaited + one.old == 0 && one.sentAt < unasked);
         });
     }
     bool answered(std::optional<MarkId> number) const {
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include "planner/state.h"
 #include "world.h"
 
 namespace zincstack::tests {
@@ -126,6 +127,25 @@
     EXPECT_TRUE(world.broken.empty()) << world.broken.size() << " times, first " << world.broken.front();
 }
 
+/// Once the bound proxies had answered, what waited for those with old tables was taken as gone: the channel went
+/// over its limit.
+TEST(Ledger, WhatIsOnItsWayToOldTablesCountsUntilTheyAnswerToo) {
+    Proxies proxies;
+    proxies[{0}] = {{0}, true, false, {}};
+    proxies[{1}] = {{0}, false, false, {}};
+    Outbox ledger{proxies, 6};
+    for (auto& [id, proxy] : proxies) ledger.stage(proxy, 10);
+    ledger.close({1}, 1s);
+    ledger.written({1}, 42, 2); // a line of each is its mark; they took more than was reckoned
+    EXPECT_DOUBLE_EQ(ledger.lines(), 54);
+    ledger.applied({0}, {1});
+    EXPECT_DOUBLE_EQ(ledger.lines(), 27);
+    ledger.forget(0s, 4s);
+    EXPECT_DOUBLE_EQ(ledger.lines(), 27);
+    ledger.applied({1}, {1});
+    EXPECT_DOUBLE_EQ(ledger.lines(), 0);
+}
+
 TEST(Rounds, OnlyDifferencesAreSentAndAddAndRemoveCancel) {
     const auto world = settled(6);
     world->news(9, ListedState::Ready, 0us);
