The channel tells its lines by kind, answers and streams; each connection's end has its reason

Event channel, once a second while anything moves: messages, lines by kind, answers, lines without an answer, proxies unbound, streams opened, ended and taken over. At level debug: each message, answer, stream and the reason of every close.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -66,6 +66,10 @@
     return out;
 }
 
+bool enabled(Level level) {
+    return spdlog::default_logger_raw()->should_log(kLevels[static_cast<std::size_t>(level)]);
+}
+
 void tell(Level level, std::string_view event, const Fields& fields) {
     const auto place = kLevels[static_cast<std::size_t>(level)];
     if (!spdlog::default_logger_raw()->should_log(place)) return;
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -36,9 +37,16 @@
 /// To standard error from now on; what is below the level is left out. May be called again.
 void start(Format format, Level least);
 void tell(Level level, std::string_view event, const Fields& fields);
+/// Whether what has that level is written at all; asked before fields are made that may be many.
+bool enabled(Level level);
 inline void info(std::string_view event, const Fields& fields = {}) { tell(Level::Info, event, fields); }
+inline void debug(std::string_view event, const std::initializer_list<Field>& fields) {
+    if (enabled(Level::Debug)) tell(Level::Debug, event, fields);
+}
 inline void warn(std::string_view event, const Fields& fields = {}) { tell(Level::Warn, event, fields); }
-inline void critical(std::string_view event, const Fields& fields = {}) { tell(Level::Critical, event, fields); }
+inline void critical(std::string_view event, const Fields& fields = {}) {
+    tell(Level::Critical, event, fields);
+}
 
 /// One line without its time: what `tell` writes, for tests and for other sinks. JSON has it all but the time.
 std::string lineOf(Format format, Level level, std::string_view event, const Fields& fields);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <utility>
 
+#include "log/log.h"
 #include "net/fatal.h"
 
 namespace zincstack::net {
@@ -35,7 +36,8 @@
     peer_ = std::move(peer);
     asio::co_spawn(socket_.get_executor(), read(),
                    [self = shared_from_this(), over = std::move(over)](const std::exception_ptr& failure) {
-                       self->close();
+                       self->close("over");
+                       log::debug("connection_closed", {{"reason", self->reason_}});
                        self->peer_->ended();
                        self->counters_.add(Count::Closed);
                        over();
@@ -43,23 +45,24 @@
                    });
 }
 
-void Connection::close() {
+void Connection::close(std::string_view reason) {
+    if (reason_.empty()) reason_ = reason;
     error_code ignored;
     socket_.close(ignored);
 }
 
 /// Guards against a stall in which the time passed while the joining already waited on the socket.
 void Connection::joinNow() {
-    if (!takeIn(1) || !peer_->mayStay()) end();
+    if (!takeIn(1) || !peer_->mayStay()) end("did not join in time");
 }
 
 /// The peer may not read, so no more than the socket takes is written.
-void Connection::end() {
+void Connection::end(std::string_view reason) {
     error_code ignored;
     const auto words = peer_ ? peer_->lastWords() : std::string_view{};
     if (socket_.is_open() && queue_.empty() && !words.empty()) // never in the middle of something else
         socket_.write_some(asio::buffer(words), ignored);
-    close();
+    close(reason);
 }
 
 /// Guards against peers that hold all of the pool: reading needs no block of its own, so no stream is lost.
@@ -68,7 +71,8 @@
     for (;;) {
         co_await socket_.async_wait(asio::socket_base::wait_read,
                                     asio::redirect_error(asio::use_awaitable, error));
-        if (error || !takeIn(kReadsATurn)) co_return end();
+        if (error) co_return end(error.message());
+        if (!takeIn(kReadsATurn)) co_return end("what it said can't be taken");
     }
 }
 
@@ -78,6 +82,7 @@
     for (std::size_t got = kBlockBytes; turns > 0 && got == kBlockBytes; --turns) {
         got = socket_.read_some(asio::buffer(readInto_.data(), kBlockBytes), error);
         if (error == asio::error::would_block || error == asio::error::try_again) break;
+        if (error && reason_.empty()) reason_ = error.message();
         if (error || !peer_->feed({readInto_.data(), got})) return false;
     }
     return true;
@@ -140,7 +145,7 @@
             asio::buffer(queue_.front().data() + head_, queue_.front().size - head_),
             asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            close(); // the reading side notices and ends the session
+            close("write: " + error.message()); // the reading side notices and ends the session
             break;
         }
         counters_.add(Count::BytesOut, sent);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -40,10 +40,10 @@
     /// Bytes that were taken and not yet written.
     std::size_t waiting() const { return queued_; }
     bool idle() const { return queued_ == 0; }
-    /// Ends it from this side, without last words.
-    void close();
+    /// Ends it from this side, without last words; the first reason is the one that is logged.
+    void close(std::string_view reason);
     /// Ends it from this side, with them.
-    void end();
+    void end(std::string_view reason);
 
 private:
     struct Piece { // one or the other
@@ -66,6 +66,7 @@
     std::deque<Piece> queue_;
     std::size_t head_ = 0, queued_ = 0; // written of the first piece; bytes not yet written
     bool writing_ = false;
+    std::string reason_; // why it ended, as said first
 };
 
 } // namespace zincstack::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -39,7 +39,7 @@
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     for (auto* timer : {&room_, &due_}) timer->cancel();
-    for (const auto& peer : peers_) peer->end();
+    for (const auto& peer : peers_) peer->end("the listener stops");
 }
 
 asio::awaitable<void> Listener::sleep(asio::steady_timer& timer, Steady::time_point until) {
--- a/src/orders/order_book.h
+++ b/src/orders/order_book.h
@@ -56,6 +56,8 @@
     /// Lines of all messages that were written on any front and have no answer yet; after ten seconds they
     /// are taken to have left, as the planner's own ledger does.
     std::size_t linesOnTheirWay() const { return onTheirWay_; }
+    /// When the batch that is being written, or was last, is flushed.
+    Micros now() const { return now_; }
 
     // -- what was ordered --
     /// Tables that the proxy is bound to; none where it holds only what it came with.
--- /dev/null
+++ b/src/platform/channel_report.cpp
@@ -0,0 +1,51 @@
+#include "platform/channel_report.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "log/log.h"
+
+namespace zincstack::net {
+
+namespace {
+
+constexpr Micros kTellEvery = std::chrono::seconds(1);
+
+} // namespace
+
+LineCounts& LineCounts::operator+=(const LineCounts& other) {
+    rows += other.rows;
+    withdrawals += other.withdrawals;
+    readmissions += other.readmissions;
+    levels += other.levels;
+    framing += other.framing;
+    return *this;
+}
+
+void ChannelReport::written(const LineCounts& lines) {
+    now_.lines += lines;
+    ++now_.messages;
+}
+
+void ChannelReport::tell(Micros now, std::size_t unanswered, std::size_t joined, std::size_t unbound) {
+    now_.mostUnanswered = std::max(now_.mostUnanswered, unanswered);
+    if (now_.empty() || now - toldAt_ < kTellEvery) return;
+    toldAt_ = now;
+    const Interval last = std::exchange(now_, {});
+    log::info("channel", {{"messages", last.messages},
+                          {"rows", last.lines.rows},
+                          {"withdrawals", last.lines.withdrawals},
+                          {"readmissions", last.lines.readmissions},
+                          {"levels", last.lines.levels},
+                          {"framing", last.lines.framing},
+                          {"answers", last.answers},
+                          {"unanswered", unanswered},
+                          {"most_unanswered", last.mostUnanswered},
+                          {"joined", joined},
+                          {"unbound", unbound},
+                          {"streams_opened", last.opened},
+                          {"streams_ended", last.ended},
+                          {"taken_over", last.takenOver}});
+}
+
+} // namespace zincstack::net
--- /dev/null
+++ b/src/platform/channel_report.h
@@ -0,0 +1,46 @@
+// What went through the planner's channel, told to the log once a second while anything moves: how many lines of
+// which kind were written and answered, how many still have no answer, and how many streams opened and ended.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "planner/planner.h"
+
+namespace zincstack::net {
+
+/// Lines of one message by kind, as the protocol counts them. The head of the message is not among them.
+struct LineCounts {
+    std::size_t rows = 0;         ///< servers with weights
+    std::size_t withdrawals = 0;  ///< servers that the proxy is to shut out
+    std::size_t readmissions = 0; ///< servers that it is to let back
+    std::size_t levels = 0;
+    std::size_t framing = 0; ///< `replace` and the mark
+    std::size_t total() const { return rows + withdrawals + readmissions + levels + framing; }
+    LineCounts& operator+=(const LineCounts& other);
+};
+
+class ChannelReport {
+public:
+    void written(const LineCounts& lines);
+    void answered() { ++now_.answers; }
+    void streamOpened() { ++now_.opened; }
+    void streamEnded() { ++now_.ended; }
+    void takenOver() { ++now_.takenOver; }
+
+    /// Logs the event `channel` where a second has passed since the last one and anything happened meanwhile.
+    /// `unanswered`: lines that were written and have no answer yet. `joined`, `unbound`: proxies.
+    void tell(Micros now, std::size_t unanswered, std::size_t joined, std::size_t unbound);
+
+private:
+    struct Interval {
+        LineCounts lines;
+        std::uint64_t messages = 0, answers = 0, opened = 0, ended = 0, takenOver = 0;
+        std::size_t mostUnanswered = 0;
+        bool empty() const { return messages + answers + opened + ended + takenOver == 0; }
+    };
+    Interval now_;
+    Micros toldAt_{};
+};
+
+} // namespace zincstack::net
--- a/src/platform/intake.cpp
+++ b/src/platform/intake.cpp
@@ -68,7 +68,7 @@
     if (!mark || !named || *named != proxy || !spanOf(message, "took_ms"))
         return counters_.passedOver(Count::BadField, "ack");
     if (!outbox_.owns(proxy, stream)) return counters_.add(Count::Stale);
-    if (!book_.answered(proxy, {static_cast<std::uint16_t>(*mark)}))
+    if (!outbox_.answered(proxy, {static_cast<std::uint16_t>(*mark)}))
         return counters_.passedOver(Count::BadMark, "no such mark waits for its answer");
     counters_.add(Count::Acks);
     engine_.input().applied(proxy, {static_cast<std::uint16_t>(*mark)});
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "log/log.h"
+
 namespace zincstack::net {
 
 Outbox::Outbox(orders::OrderBook& book, const Names& names, Counters& counters)
@@ -18,6 +20,8 @@
 bool Outbox::joined(ProxyId proxy, ZoneId zone, PushTarget& stream) {
     const bool had = book_.joined(proxy, zone, *this);
     held_.insert_or_assign(proxy, Held{&stream});
+    report_.streamOpened();
+    log::debug("stream_opened", {{"proxy", proxy.value}, {"zone", zone.value}, {"had_another", had}});
     return had;
 }
 
@@ -27,13 +31,25 @@
 }
 
 bool Outbox::left(ProxyId proxy, const PushTarget& stream) {
-    return owns(proxy, stream) && held_.erase(proxy) && book_.left(proxy, *this);
+    if (!owns(proxy, stream)) return false;
+    report_.streamEnded();
+    log::debug("stream_ended", {{"proxy", proxy.value}});
+    return held_.erase(proxy) && book_.left(proxy, *this);
+}
+
+bool Outbox::answered(ProxyId proxy, MarkId number) {
+    if (!book_.answered(proxy, number)) return false;
+    report_.answered();
+    log::debug("answered", {{"proxy", proxy.value}, {"mark", number.value}});
+    return true;
 }
 
 void Outbox::replaced(ProxyId proxy) {
     const auto found = held_.find(proxy);
     counters_.holds(found != held_.end());
     if (found == held_.end()) return;
+    report_.takenOver();
+    log::debug("stream_replaced", {{"proxy", proxy.value}});
     found->second.stream->replaced();
     held_.erase(found);
 }
@@ -103,6 +119,9 @@
         if (held.behind && held.stream->idle()) resync(id, held);
         if (held.concerned() || held.mark) write(id, held);
     }
+    const auto unbound =
+        std::ranges::count_if(held_, [&](const auto& one) { return book_.tablesOf(one.first).empty(); });
+    report_.tell(book_.now(), book_.linesOnTheirWay(), held_.size(), static_cast<std::size_t>(unbound));
 }
 
 PushMessage Outbox::message(Held& held) {
@@ -141,7 +160,13 @@
     const WrittenPush written = writePush(next, names_, counters_);
     held.behind = !held.stream->push(written.bytes);
     if (held.behind) return;
-    if (held.mark) book_.written(proxy, *held.mark, written.lines);
+    report_.written(written.lines);
+    log::debug("message", {{"proxy", proxy.value},
+                           {"mark", held.mark ? held.mark->value : 0},
+                           {"rows", written.lines.rows},
+                           {"withdrawals", written.lines.withdrawals},
+                           {"lines", written.lines.total()}});
+    if (held.mark) book_.written(proxy, *held.mark, written.lines.total());
     held.mark.reset();
 }
 
--- a/src/platform/outbox.h
+++ b/src/platform/outbox.h
@@ -9,6 +9,7 @@
 #include "metrics/counters.h"
 #include "orders/names.h"
 #include "orders/order_book.h"
+#include "platform/channel_report.h"
 #include "platform/push_target.h"
 #include "platform/push_writer.h"
 
@@ -26,6 +27,8 @@
     /// True if that stream was the proxy's own: the proxy has left.
     bool left(ProxyId proxy, const PushTarget& stream);
     bool owns(ProxyId proxy, const PushTarget& stream) const;
+    /// The proxy has answered a mark; false where none such waits for its answer.
+    bool answered(ProxyId proxy, MarkId number);
 
     void lineSet(TableId table, ServerId server, double weight) override;
     void bound(ProxyId proxy, TableId table) override;
@@ -61,6 +64,7 @@
     const Names& names_;
     Counters& counters_;
     std::map<ProxyId, Held> held_;
+    ChannelReport report_;
 };
 
 } // namespace zincstack::net
--- a/src/platform/push_writer.cpp
+++ b/src/platform/push_writer.cpp
@@ -45,7 +45,7 @@
 
 WrittenPush writePush(const PushMessage& message, const Names& names, Counters& counters) {
     std::vector<std::string> parts;
-    std::size_t lines = 0;
+    LineCounts lines;
     for (const auto& table : message.tables) {
         std::string rows;
         bool whole = table.whole;
@@ -53,13 +53,13 @@
         const auto flush = [&] {
             if (rows.empty() && !whole) return;
             parts.push_back(products + (whole ? " replace=1" : "") + (rows.empty() ? "" : " rows=" + rows));
-            lines += whole;
+            lines.framing += whole;
             whole = false;
             rows.clear();
         };
         for (const auto& [server, weight] : table.lines) {
             rows.append(rows.empty() ? "" : ",").append(names.of(server)) += ":" + numberText(weight);
-            ++lines;
+            ++lines.rows;
             if (rows.size() > kRowBytesMost) flush();
         }
         flush();
@@ -73,14 +73,16 @@
         }
         for (const auto& [level, of] : alike) {
             parts.push_back(forText(of, names) + levelText(level));
-            ++lines;
+            ++lines.levels;
         }
     }
     std::string last;
     if (!message.shut.empty()) last += " drop=" + listText(message.shut, names);
     if (!message.let.empty()) last += " undrop=" + listText(message.let, names);
     if (message.mark) last += " stamp=" + std::to_string(message.mark->value);
-    lines += message.shut.size() + message.let.size() + (message.mark ? 1 : 0);
+    lines.withdrawals += message.shut.size();
+    lines.readmissions += message.let.size();
+    lines.framing += message.mark ? 1 : 0;
     if (parts.empty()) parts.emplace_back();
     parts.back() += last;
 
@@ -90,7 +92,7 @@
     counters.holds(parts.size() <= kPartsMost);
     counters.add(Count::Messages);
     counters.add(Count::Parts, parts.size());
-    counters.add(Count::OrderLines, lines);
+    counters.add(Count::OrderLines, lines.total());
     return {std::move(out), lines};
 }
 
--- a/src/platform/push_writer.h
+++ b/src/platform/push_writer.h
@@ -10,6 +10,7 @@
 #include "metrics/counters.h"
 #include "orders/names.h"
 #include "orders/order_book.h"
+#include "platform/channel_report.h"
 
 namespace zincstack::net {
 
@@ -28,7 +29,7 @@
 
 struct WrittenPush {
     std::string bytes;
-    std::size_t lines = 0; ///< as the protocol counts them
+    LineCounts lines;
 };
 /// The message's push lines; its parts and lines go to `counters` too.
 WrittenPush writePush(const PushMessage& message, const Names& names, Counters& counters);
--- a/src/pubsub/door.cpp
+++ b/src/pubsub/door.cpp
@@ -32,7 +32,7 @@
     bool push(const SharedFrame& frame) override { return connection_.push(frame); }
     void leave(std::string lastWords) override {
         lastWords_ = std::move(lastWords);
-        connection_.end();
+        connection_.end("the channel let it go");
     }
 
     Hub& hub_;
