--- a/tests/pubsub_test.cpp
+++ b/tests/pubsub_test.cpp
@@ -168,7 +168,7 @@
     EXPECT_TRUE(
         readTopic(cborOf({{"later", {1, 2}}, {"lines", {{"s", 1}}}}))); // what is not known is let pass
     EXPECT_FALSE(readTopic(std::string(100'000, '\x81')));              // as deep as it is long
-    EXPECT_FALSE(readTopic(std::string(9, '\xbb'))); // a map of more than any memory holds
+    EXPECT_FALSE(readTopic(std::string(9, '\xbb')));                    // a map of more than any memory holds
     EXPECT_FALSE(readTopic(std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9)));
 }
 
