Channel credit by answers alone, orders that merge until there is room, starter tables for joiners

Change: src/planner/channel_credit charges each message as encoded where its bytes are handed to a stream and gives credit back for answers only; what ended or silent streams were written counts until a later message is answered. The outbox keeps what was ordered per stream, merged, and writes withdrawals and first tables first, the oldest first, as far as the credit goes. src/planner/starter_tables gives those who join in numbers a short table of warm servers, dealt over all joiners, which ends every old line for as many rows as a standing table has; whole tables follow while half of the queue can still take them back.

--- a/src/command/run.cpp
+++ b/src/command/run.cpp
@@ -130,7 +130,7 @@
     net::Prober* probes = nullptr;
     orders::OrderBook book(
         names, counters, [&](ServerId server) { probes->probe(server); },
-        [&](Micros span) { wakes->wakeAfter(span); });
+        [&](Micros span) { wakes->wakeAfter(span); }, start.channel);
     net::Outbox outbox(book, names, counters);
     const auto planner = makePlanner(station.seed, start.fleet, start.forwarders, start.channel, start.guards,
                                      start.products, book);
--- a/src/orders/front.h
+++ b/src/orders/front.h
@@ -2,6 +2,7 @@
 // changes; each passes on what concerns its own proxies.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 
 #include "planner/planner.h"
@@ -24,7 +25,15 @@
     /// The batch of orders is complete.
     virtual void flush() = 0;
     /// Lets back at its proxy what earlier streams may have shut out; false where there is nothing.
-    virtual bool letBack(ProxyId) { return false; }
+    virtual bool letBack(ProxyId, std::size_t /*most*/) { return false; }
+    /// Lines on their way on a channel of its own, beside those that the book counts.
+    virtual double linesOnTheirWay() const { return 0; }
+    /// Lines that were ordered and are held back until the channel has room for them.
+    virtual double linesHeldBack() const { return 0; }
+    /// Something is held back that has no mark to go with.
+    virtual bool needsMark() const { return false; }
+    /// A binding takes the place of an earlier one for the same products.
+    virtual bool rebinds() const { return false; }
     /// All of a batch is written when it is flushed.
     virtual bool writesAtOnce() const { return false; }
 };
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -1,6 +1,7 @@
 #include "orders/order_book.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "log/log.h"
@@ -9,14 +10,14 @@
 
 namespace {
 
-constexpr std::size_t kMarksMost = 1024;           // without an answer, of one proxy
-constexpr Micros kLeft = std::chrono::seconds(10); // unanswered lines have left the channel
+constexpr Micros kSweepEvery = std::chrono::seconds(1); // streams are looked at for silence
 
 } // namespace
 
 OrderBook::OrderBook(net::Names& names, net::Counters& counters, std::function<void(ServerId)> probe,
-                     std::function<void(Micros)> wake)
-    : names_(names), counters_(counters), probe_(std::move(probe)), wake_(std::move(wake)) {}
+                     std::function<void(Micros)> wake, const ChannelTerms& channel)
+    : names_(names), counters_(counters), probe_(std::move(probe)), wake_(std::move(wake)),
+      headLines_(static_cast<std::size_t>(std::ceil(channel.headLines))), credit_(channel) {}
 
 void OrderBook::add(Front& front) { fronts_.push_back(&front); }
 
@@ -28,10 +29,8 @@
 bool OrderBook::joined(ProxyId proxy, ZoneId zone, Front& front) {
     const auto before = members_.find(proxy);
     const bool had = before != members_.end();
-    if (had) {
-        release(before->second, before->second.unanswered.size());
-        before->second.front->replaced(proxy);
-    }
+    if (had) before->second.front->replaced(proxy);
+    credit_.streamOpened(proxy);
     members_.insert_or_assign(proxy, Member{&front, zone});
     return had;
 }
@@ -43,40 +42,32 @@
 
 bool OrderBook::left(ProxyId proxy, const Front& front) {
     if (!owns(proxy, front)) return false;
-    const auto found = members_.find(proxy);
-    release(found->second, found->second.unanswered.size());
-    members_.erase(found);
+    credit_.streamEnded(proxy);
+    members_.erase(proxy);
     return true;
 }
 
-void OrderBook::release(Member& member, std::size_t messages) {
-    for (; messages > 0; --messages) {
-        onTheirWay_ -= member.unanswered.front().lines;
-        member.unanswered.pop_front();
-    }
+double OrderBook::elsewhere() const {
+    double lines = 0;
+    for (const Front* front : fronts_) lines += front->linesOnTheirWay();
+    return lines;
+}
+
+ChannelCredit::Verdict OrderBook::admits(ProxyId proxy, std::size_t lines, Urgency urgency) const {
+    return credit_.admits(proxy, static_cast<double>(lines), urgency, elsewhere(), now_);
 }
 
 void OrderBook::written(ProxyId proxy, MarkId number, std::size_t lines) {
     const auto found = members_.find(proxy);
     counters_.holds(found != members_.end());
     if (found == members_.end()) return;
-    if (cost_ && cost_->mark == number) cost_->lines += lines, ++cost_->messages;
-    found->second.unanswered.push_back({number, lines, now_});
-    onTheirWay_ += lines;
-    if (found->second.unanswered.size() > kMarksMost) release(found->second, 1);
+    if (cost_ && cost_->mark == number)
+        cost_->lines += lines - std::min(lines, headLines_), ++cost_->messages;
+    credit_.written(proxy, number, static_cast<double>(lines), now_);
 }
 
 /// Guards against an answer that names a mark of another time: the ledger would take as gone what still waits.
-bool OrderBook::answered(ProxyId proxy, MarkId number) {
-    const auto found = members_.find(proxy);
-    if (found == members_.end()) return false;
-    const auto& marks = found->second.unanswered;
-    const auto at = std::ranges::find(marks, number, &Sent::mark);
-    if (at == marks.end()) return false;
-    // what was written before it has come too, answered or not
-    release(found->second, static_cast<std::size_t>(at - marks.begin()) + 1);
-    return true;
-}
+bool OrderBook::answered(ProxyId proxy, MarkId number) { return credit_.answered(proxy, number); }
 
 const std::set<TableId>& OrderBook::tablesOf(ProxyId proxy) const {
     static const std::set<TableId> kNone;
@@ -114,6 +105,9 @@
     if (found == members_.end()) return;
     tables_[table].products = products ? products : everyProduct();
     tables_[table].zone = found->second.zone;
+    std::erase_if(found->second.tables, [&](TableId other) {
+        return other != table && (tables_.at(other).products & tables_[table].products) != 0;
+    });
     found->second.tables.insert(table);
     found->second.front->bound(proxy, table);
 }
@@ -145,20 +139,34 @@
     return true;
 }
 
-bool OrderBook::letBack(ProxyId proxy) {
+bool OrderBook::letBack(ProxyId proxy, std::size_t most) {
     const auto found = members_.find(proxy);
-    return found != members_.end() && found->second.front->letBack(proxy);
+    return found != members_.end() && found->second.front->letBack(proxy, most);
+}
+
+std::optional<double> OrderBook::pendingLines() const {
+    double lines = credit_.waiting() + elsewhere();
+    for (const Front* front : fronts_) lines += front->linesHeldBack();
+    return lines;
+}
+
+bool OrderBook::needsMark() const {
+    return std::ranges::any_of(fronts_, [](const Front* front) { return front->needsMark(); });
+}
+
+bool OrderBook::rebinds(ProxyId proxy) const {
+    const auto found = members_.find(proxy);
+    return found != members_.end() && found->second.front->rebinds();
 }
 
 void OrderBook::log(std::string_view line) { log::info("planner", {{"says", line}}); }
 
 std::optional<OrderBook::Cost> OrderBook::flush(Micros now) {
     now_ = now;
-    for (auto& [id, member] : members_)
-        for (Sent& one : member.unanswered) {
-            if (one.at > now - kLeft) break;
-            onTheirWay_ -= std::exchange(one.lines, 0);
-        }
+    if (now - sweptAt_ >= kSweepEvery) {
+        sweptAt_ = now;
+        credit_.sweep();
+    }
     for (auto* front : fronts_) front->flush();
     const auto cost = std::exchange(cost_, std::nullopt);
     const bool whole =
--- a/src/orders/order_book.h
+++ b/src/orders/order_book.h
@@ -2,7 +2,6 @@
 // where, and which messages have no answer yet. Every front reads it; none keeps a copy.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -13,6 +12,7 @@
 #include "metrics/counters.h"
 #include "orders/front.h"
 #include "orders/names.h"
+#include "planner/channel_credit.h"
 #include "planner/planner.h"
 
 namespace zincstack::orders {
@@ -35,7 +35,7 @@
 class OrderBook final : public OrderSink {
 public:
     OrderBook(net::Names& names, net::Counters& counters, std::function<void(ServerId)> probe,
-              std::function<void(Micros)> wake);
+              std::function<void(Micros)> wake, const ChannelTerms& channel = {});
 
     /// Fronts are told in the order in which they were added. A front that is taken away has no proxies left.
     void add(Front& front);
@@ -49,13 +49,15 @@
     bool owns(ProxyId proxy, const Front& front) const;
 
     // -- what is on its way --
-    /// A message of so many lines, closed by a mark, has been written to the proxy.
+    /// Whether a message of so many lines, its head among them, may be written to the proxy now.
+    ChannelCredit::Verdict admits(ProxyId proxy, std::size_t lines, Urgency urgency) const;
+    /// A message of so many lines, its head among them and closed by a mark, has been written to the proxy.
     void written(ProxyId proxy, MarkId number, std::size_t lines);
+    std::size_t headLines() const { return headLines_; }
     /// The proxy has answered a mark; false where no such mark was written to it, or it was answered.
     bool answered(ProxyId proxy, MarkId number);
-    /// Lines of all messages that were written on any front and have no answer yet; after ten seconds they
-    /// are taken to have left, as the planner's own ledger does.
-    std::size_t linesOnTheirWay() const { return onTheirWay_; }
+    /// Lines that were written on fronts of this account and may still wait in the channel.
+    std::size_t linesOnTheirWay() const { return static_cast<std::size_t>(credit_.waiting()); }
     /// When the batch that is being written, or was last, is flushed.
     Micros now() const { return now_; }
 
@@ -93,21 +95,18 @@
     void log(std::string_view line) override;
     /// A binding lets back what its stream was not told of, so nothing need be known of who has ended.
     bool forget(ServerId server) override;
-    bool letBack(ProxyId proxy) override;
+    bool letBack(ProxyId proxy, std::size_t most) override;
+    std::optional<double> pendingLines() const override;
+    bool needsMark() const override;
+    bool rebinds(ProxyId proxy) const override;
 
 private:
-    struct Sent {
-        MarkId mark;
-        std::size_t lines;
-        Micros at;
-    };
     struct Member {
         Front* front;
         ZoneId zone;
         std::set<TableId> tables = {};
-        std::deque<Sent> unanswered = {}; // oldest first
     };
-    void release(Member& member, std::size_t messages);
+    double elsewhere() const;
 
     net::Names& names_;
     net::Counters& counters_;
@@ -118,7 +117,9 @@
     LevelLines everywhere_; // levels for all joined proxies
     std::set<ServerId> withdrawn_;
     std::map<ProxyId, Member> members_;
-    std::size_t onTheirWay_ = 0;
+    const std::size_t headLines_;
+    ChannelCredit credit_;
+    Micros sweptAt_{};
     std::optional<Cost> cost_; // of the batch that was marked last, until it is flushed
     Micros now_{};
 };
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -11,6 +11,7 @@
 //   5 channel pacing  lines on their way bound the queue: urgent first, then joiners, then rounds
 //   6 starting over   nothing is trusted after a start: all proxies are bound anew, busiest first
 #include "planner/planner.h"
+#include "planner/starter_tables.h"
 #include "planner/state.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
 constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
 constexpr double kOldLines = 2, kWorn = 0.25;   // old tables: naming a server over the average; out: in need
+constexpr std::size_t kLetBackFirst = 2;        // servers of a starter table that are surely not shut out
 constexpr Micros kForgotten = 10s, kUnasked = 2s; // unanswered messages have left; so if none is to answer
 constexpr double kSumsFade = 0.2, kUsageFade = 0.3, kPressedFade = 0.5; // what a second leaves of each
 constexpr double kSickShare = 0.5, kSickOver = 0.25; // unanswered share, and above the rest of the fleet
@@ -313,11 +315,20 @@
         return !sentAt || terms.messagesMost < 2 ||
                now - *sentAt >= terms.messagesOver / (terms.messagesMost - 1);
     }
-    double room() const { return kUrgentRoom * terms.queueMost - outbox.lines(); }
+    /// Whoever writes the orders counts them as encoded and keeps the limit: here they are only paced.
+    bool counted() const { return sink.pendingLines().has_value(); }
+    double lines() const {
+        const auto pending = sink.pendingLines();
+        return pending ? *pending + outbox.stagedLines : outbox.lines();
+    }
+    /// Whether an urgent order of so many lines may be given.
+    bool hasRoom(double each) const {
+        return counted() || kUrgentRoom * terms.queueMost - outbox.lines() >= each;
+    }
     /// For what can wait, beside what is on its way: the queue stays short for what can't.
     double spare(Micros span) const {
         const double most = terms.linesPerSecond * seconds(terms.meanTransit + span);
-        return std::min(most, kOrdinaryRoom * terms.queueMost) - outbox.lines();
+        return std::min(most, kOrdinaryRoom * terms.queueMost) - lines();
     }
 
     /// Proxies that keep an old table are bound a few at a time, busiest first.
@@ -332,9 +343,10 @@
             if (budget <= 0) return;
             Proxy& proxy = proxies[id];
             proxy.bound = true;
+            proxy.starters.clear();
             const double before = outbox.stagedLines;
             for (const auto& table : tables) {
-                if (!table.serves(proxy)) continue;
+                if (table.starterOf || !table.serves(proxy)) continue;
                 sink.bind(id, table.products, table.id);
                 const auto held = std::ranges::count_if(table.standing, [](double w) { return w > 0; });
                 outbox.stage(proxy, 1 + static_cast<double>(held + out + std::ssize(table.levels)));
@@ -347,7 +359,8 @@
     /// most of these lines change nothing, and a table without them is short of a few servers at worst.
     void letBack(const Servers& servers) {
         for (auto& [id, proxy] : proxies) {
-            if (!proxy.bound || std::exchange(proxy.cleared, true) || !sink.letBack(id)) continue;
+            if (!proxy.bound || std::exchange(proxy.cleared, true) || !sink.letBack(id, servers.size()))
+                continue;
             outbox.stage(proxy, servers.sum([&](Index s) { return targetOf(servers, s) > 0; }));
             if (spare(kIdle) <= 0) return;
         }
@@ -355,7 +368,7 @@
 
     /// Closes the message of every proxy that something was ordered for with a mark; marks wrap under 65536.
     std::optional<MarkId> send(Micros now) {
-        if (outbox.stagedLines <= 0) return {};
+        if (outbox.stagedLines <= 0 && !sink.needsMark()) return {};
         marks = marks % 65535 + 1;
         const MarkId mark{static_cast<std::uint16_t>(marks)};
         sink.mark(mark, false);
@@ -436,7 +449,7 @@
     void order(std::vector<Table>& tables, const Proxies& proxies, Channel& channel) {
         for (auto& table : tables)
             for (Index p = 0; p < products.size(); ++p) {
-                if (!(table.products >> p & 1U)) continue;
+                if (!(table.products >> p & 1U) || (table.starterOf && table.holders == 0)) continue;
                 const double level = levelAt(std::min(1.0, pass[p] * table.slowed), p, proxies);
                 double& before = table.levels.try_emplace(p, -1.0).first->second;
                 if (std::abs(level - before) <= kLevelStep * std::max(level, before)) continue;
@@ -472,14 +485,11 @@
     Phase phase = Phase::Idle;
     Micros batchAt{}, windowAt{}, sentAt{}, againAt{};
     std::optional<MarkId> mark = {};
+    StarterTables starters;
 
     /// What can't wait: withdrawals, and the shrinking of a server that has just started. Past the ledger.
     void urgent(bool idle, Micros now) {
         const auto each = static_cast<double>(proxies.size()) * (2 + channel.terms.headLines); // a message
-        // Those who joined since may hold ended servers, and hundreds can't be bound within the grace.
-        const Micros newest = newcomer();
-        const bool again = now - againAt >= kWindow;
-        if (again) againAt = now;
         for (Index s = 0; s < servers.size(); ++s) {
             // Guards against growth, and lines for each that joins: no old table is as old as its end.
             const bool past = servers.duty[s] == Ended && servers.withdrawn[s] && !servers.forgotten[s] &&
@@ -487,32 +497,108 @@
             const auto free = [&](const Table& table) { return table.standing[s] <= 0; };
             if (past && std::ranges::all_of(tables, free) && sink.forget(servers.id[s])) servers.forget(s);
             if (servers.forgotten[s]) continue;
-            const bool ended = servers.duty[s] == Ended; // the sick may wait: no rule ends with them
-            if (again && servers.withdrawn[s] && newest > servers.withdrawnAt[s] && (ended || idle) &&
-                channel.room() >= each)
-                withdraw(s, true);
             const bool out = !servers.serves(s) && !servers.withdrawn[s];
             const bool lowered = health.warmth(s, now) < 1 || (idle && servers.rung[s] < kRungs);
             for (auto& table : tables)
                 if (table.standing[s] > target(table, s) &&
-                    (out ? channel.room() >= each : lowered && channel.spare(kBatch) > 0))
+                    (out ? channel.hasRoom(each) : lowered && channel.spare(kBatch) > 0))
                     line(table, s);
             // Only old tables hold it now. They have few lines: the sick must not take them all.
             const bool sick = servers.duty[s] == ShutOut && servers.outShare(servers.zone[s]) >= kWorn;
-            if (out && !sick && channel.room() >= each) withdraw(s, true);
+            if (out && !sick && channel.hasRoom(each)) withdraw(s, true);
         }
         // Guards against a table without a line to pick, whatever took the last one: it waits for no round.
         for (auto& table : tables)
-            if (servers.sum([&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
+            if (!table.starterOf &&
+                servers.sum([&](Index s) { return !servers.withdrawn[s] * table.standing[s]; }) <= 0)
                 for (Index s = 0; s < servers.size(); ++s)
-                    if (target(table, s) > 0 && channel.room() >= each) line(table, s);
+                    if (target(table, s) > 0 && channel.hasRoom(each)) line(table, s);
+    }
+
+    /// Those who joined since may hold ended servers, and hundreds can't be bound within the grace: they are told
+    /// again of what was withdrawn.
+    void withdrawAgain(bool idle, Micros now) {
+        if (now - againAt < kWindow) return;
+        againAt = now;
+        const auto each = static_cast<double>(proxies.size()) * (2 + channel.terms.headLines);
+        const Micros newest = newcomer();
+        for (Index s = 0; s < servers.size(); ++s) {
+            const bool ended = servers.duty[s] == Ended; // the sick may wait: no rule ends with them
+            if (!servers.forgotten[s] && servers.withdrawn[s] && newest > servers.withdrawnAt[s] &&
+                (ended || idle) && channel.hasRoom(each))
+                withdraw(s, true);
+        }
+    }
+
+    /// Servers that may get their full part at once: warm, and in this table.
+    std::vector<Index> warmServers(const Table& whole, Micros now) const {
+        std::vector<Index> out;
+        for (Index s = 0; s < servers.size(); ++s)
+            if (target(whole, s) > 0 && !servers.withdrawn[s] && health.warmth(s, now) >= 1) out.push_back(s);
+        return out;
+    }
+    /// All that keep an old table and can be bound over later get a starter table, busiest first.
+    void startJoiners(Micros now) {
+        std::vector<std::pair<double, ProxyId>> order;
+        for (const auto& [id, proxy] : proxies)
+            if (proxy.keepsOldTable() && sink.rebinds(id)) order.emplace_back(-proxy.rate(), id);
+        starters.count();
+        emptyUnheld();
+        const Index wholes = wholeTables();
+        for (Index whole = 0; whole < wholes; ++whole) {
+            if (!tables[whole].used) continue;
+            const auto warm = warmServers(tables[whole], now);
+            for (const auto& [table, s] : starters.refill(whole, warm)) addRow(tables[table], s);
+            if (order.empty()) continue;
+            for (const auto& [table, s] : starters.deal(whole, warm)) addRow(tables[table], s);
+        }
+        std::ranges::sort(order);
+        for (const auto& [rate, id] : order) start(id, wholes);
+    }
+    Index wholeTables() const {
+        return static_cast<Index>(
+            std::ranges::count_if(tables, [](const Table& table) { return !table.starterOf; }));
+    }
+    void addRow(Table& table, Index s) {
+        table.standing.resize(servers.size(), 0);
+        table.standing[s] = targetOf(servers, s);
+        sink.setLine(table.id, servers.id[s], table.standing[s]);
+        channel.outbox.charge(table, 1);
+    }
+    /// Starter tables that nobody holds any more are emptied, to be dealt anew for those who join later.
+    void emptyUnheld() {
+        for (Table& table : tables) {
+            if (!table.starterOf || table.holders > 0) continue;
+            for (Index s = 0; s < table.standing.size(); ++s)
+                if (std::exchange(table.standing[s], 0) > 0) sink.setLine(table.id, servers.id[s], 0);
+        }
+    }
+    void start(ProxyId id, Index wholes) {
+        Proxy& proxy = proxies[id];
+        std::vector<Index> given;
+        for (Index whole = 0; whole < wholes; ++whole) {
+            if (tables[whole].zone != proxy.zone) continue;
+            const auto table = starters.assign(whole, proxy.rate());
+            if (!table) return; // nothing is warm: it keeps what it holds
+            given.push_back(*table);
+        }
+        proxy.starters = std::move(given);
+        double rows = 0;
+        for (const Index t : proxy.starters) {
+            sink.bind(id, tables[t].products, tables[t].id);
+            rows += 1 + static_cast<double>(
+                            std::ranges::count_if(tables[t].standing, [](double w) { return w > 0; }));
+        }
+        // An earlier planner may have withdrawn what it names.
+        if (!proxy.onlyStanding && sink.letBack(id, kLetBackFirst)) rows += kLetBackFirst;
+        channel.outbox.stage(proxy, rows + 1);
     }
 
     /// When the last of those joined that keep an old table: it may name what was withdrawn before.
     Micros newcomer() const {
         Micros newest{-1};
         for (const auto& [id, proxy] : proxies)
-            if (!proxy.bound) newest = std::max(newest, proxy.joinedAt);
+            if (proxy.keepsOldTable()) newest = std::max(newest, proxy.joinedAt);
         return newest;
     }
 
@@ -538,10 +624,12 @@
 
     /// A zone where no proxy has joined needs no lines.
     double target(const Table& table, Index s) const {
+        if (table.starterOf) return table.standing[s] > 0 ? targetOf(servers, s) : 0;
         return table.used && (!table.zoneOnly || servers.zone[s] == table.zone) ? targetOf(servers, s) : 0;
     }
     bool differs() const {
         return std::ranges::any_of(tables, [&](const Table& table) {
+            if (table.starterOf) return false;
             for (Index s = 0; s < servers.size(); ++s)
                 if (target(table, s) != table.standing[s]) return true;
             return false;
@@ -575,6 +663,7 @@
         std::vector<Node> nodes;
         double usage = 0;
         for (auto& table : tables) {
+            if (table.starterOf) continue;
             Node node{&table, table.usage(proxies), 0};
             usage += node.demand;
             for (Index s = 0; s < n; ++s) {
@@ -643,13 +732,20 @@
     Decider(std::uint64_t seed, const FleetTerms& fleet, const ForwarderTerms& forwarders,
             const ChannelTerms& channel, const GuardTerms& guards, std::span<const ProductTerms> products,
             OrderSink& sink)
-        : sink_(sink), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
+        : sink_(sink), guards_(guards), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
           health_(servers_, sink, fleet, guards,
                   std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime,
                   std::mt19937(static_cast<std::uint32_t>(seed))),
           channel_(proxies_, sink, channel, forwarders.standingLines),
           levels_(sink, forwarders.throttle, fleet.sumsPeriod, std::vector(products.begin(), products.end())),
-          rounds_(servers_, health_, proxies_, channel_, sink, {}) {
+          rounds_{.servers = servers_,
+                  .health = health_,
+                  .proxies = proxies_,
+                  .channel = channel_,
+                  .sink = sink,
+                  .tables = {},
+                  .starters = StarterTables(rounds_.tables, proxies_, servers_, forwarders.standingLines,
+                                            static_cast<std::uint32_t>(seed))} {
         for (const bool zoneOnly : {false, true}) {
             ProductSet part = 0;
             for (Index p = 0; p < products.size(); ++p)
@@ -669,7 +765,8 @@
         const Index products = levels_.products.size();
         left(id);
         const std::vector<double> usage(products, usualRate / static_cast<double>(products));
-        proxies_[id] = {zone, false, onlyStanding, usage, 0, {}, now_};
+        proxies_[id] = {
+            .zone = zone, .onlyStanding = onlyStanding, .usage = usage, .waiting = {}, .joinedAt = now_};
     }
     void left(ProxyId id) override { channel_.outbox.left(id); }
     void sums(const ServerSums& line) override { health_.sums(line); }
@@ -702,27 +799,44 @@
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) {
             table.standing.resize(servers_.size(), 0);
-            table.used =
-                std::ranges::any_of(proxies_, [&](auto& one) { return one.second.zone == table.zone; });
+            table.used = !table.starterOf && std::ranges::any_of(proxies_, [&](auto& one) {
+                return one.second.zone == table.zone;
+            });
         }
         rounds_.batchAt = now_;
         const double half = channel_.spare(kBatch) / 2;
-        if (half > 0) rounds_.urgent(idle, now_);
+        if (half > 0 || channel_.counted()) rounds_.urgent(idle, now_);
         // Guards against old tables that run out of servers while urgent orders take the whole channel.
         const auto worn = [&](const Table& table) { return servers_.outShare(table.zone) >= kWorn; };
         if (half > 0 && (idle || std::ranges::any_of(rounds_.tables, worn)))
             channel_.joiners(rounds_.tables, servers_, half);
+        if (channel_.counted()) rounds_.startJoiners(now_);
+        if (half > 0 || channel_.counted()) rounds_.withdrawAgain(idle, now_);
         if (idle) {
             rounds_.play(now_);
             levels_.order(rounds_.tables, proxies_, channel_);
-            channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch));
+            if (mayWiden()) channel_.joiners(rounds_.tables, servers_, channel_.spare(kBatch));
             if (channel_.spare(kIdle) > 0) channel_.letBack(servers_);
         }
         if (const auto mark = channel_.send(now_); rounds_.sentAt == now_) rounds_.mark = mark;
     }
 
 private:
+    /// Whole tables cost more to take back than starter tables: no more proxies hold them than can be told of the
+    /// servers that ended within a grace by half of the queue.
+    bool mayWiden() const {
+        if (!channel_.counted()) return true;
+        double ended = 1;
+        for (Index s = 0; s < servers_.size(); ++s)
+            ended += servers_.duty[s] == Ended && !servers_.forgotten[s] &&
+                     servers_.changedAt[s] > now_ - guards_.drainGrace;
+        const auto bound = static_cast<double>(
+            std::ranges::count_if(proxies_, [](const auto& one) { return one.second.bound; }));
+        return bound * (channel_.terms.headLines + 1 + ended) <= kOrdinaryRoom * channel_.terms.queueMost;
+    }
+
     OrderSink& sink_;
+    const GuardTerms guards_;
     const bool sliced_;
     bool mustFollow_, awake_ = false;
     Micros now_{};
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -143,9 +144,17 @@
     /// The planner would know nothing more of a server that has ended. False: withdrawals can't be taken back
     /// for a server that is named anew, so it has to remember.
     virtual bool forget(ServerId) { return false; }
-    /// Lets back at a bound proxy those of its tables' servers that an earlier stream may have shut out there: a
-    /// line each. False: there is none.
-    virtual bool letBack(ProxyId) { return false; }
+    /// Lets back at a bound proxy those of its tables' servers, `most` at the most, that an earlier stream may have
+    /// shut out there: a line each. False: there is none.
+    virtual bool letBack(ProxyId, std::size_t /*most*/) { return false; }
+    /// Lines that may still wait in the channel, and those that are held back from it, as encoded. None: the
+    /// caller can't tell, and they have to be reckoned. Whoever can tell keeps the limit of the queue by itself:
+    /// orders that do not fit wait and merge.
+    virtual std::optional<double> pendingLines() const { return {}; }
+    /// Orders are held back that have no mark to go with.
+    virtual bool needsMark() const { return false; }
+    /// The proxy can be bound to another table of the same products later.
+    virtual bool rebinds(ProxyId) const { return false; }
 };
 
 class Planner {
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -108,12 +108,14 @@
 
 struct Proxy {
     ZoneId zone;
-    bool bound = false, onlyStanding = true;
+    bool bound = false, onlyStanding = true;            // bound: to whole tables
     std::vector<double> usage;                          // txns a second by product
     double staged = 0;                                  // lines of the message now being put together
     std::deque<std::pair<MarkId, double>> waiting = {}; // lines of each message without an answer
     Micros joinedAt{};
-    bool cleared = false; // let back is what earlier planners withdrew
+    bool cleared = false;             // let back is what earlier planners withdrew
+    std::vector<Index> starters = {}; // the starter tables that it holds; empty: none, or bound
+    bool keepsOldTable() const { return !bound && starters.empty(); }
     double rate() const { return std::accumulate(usage.begin(), usage.end(), 0.0); }
 };
 using Proxies = std::map<ProxyId, Proxy>;
@@ -135,7 +137,13 @@
     std::map<Index, double> levels = {}; // by product, as last ordered
     bool used = false;                   // some proxy of its zone has joined
     double slowed = 1;                   // the share at which a deadlocked table moves
-    bool serves(const Proxy& proxy) const { return proxy.bound && proxy.zone == zone; }
+    std::optional<Index> starterOf = {}; // the place of its whole table; none: it is whole itself
+    Index holders = 0;                   // of a starter table: proxies that hold it, and their traffic
+    double heldRate = 0;
+    bool serves(const Proxy& proxy) const {
+        if (!starterOf) return proxy.bound && proxy.zone == zone;
+        return std::ranges::find(proxy.starters, Index{id.value}) != proxy.starters.end();
+    }
     double usage(const Proxies& all) const { ///< txns a second of the proxies that it serves
         double sum = 0;
         for (const auto& [proxyId, proxy] : all)
@@ -177,7 +185,7 @@
     /// Only for those that joined since they were last told the same.
     void chargeOld(double named, Micros since) {
         for (auto& [id, proxy] : proxies) {
-            if (proxy.bound || proxy.joinedAt <= since) continue;
+            if (!proxy.keepsOldTable() || proxy.joinedAt <= since) continue;
             if (proxy.onlyStanding)
                 stagedLines += named * (headLines + 2);
             else
@@ -188,7 +196,8 @@
         Batch batch{mark, now, std::exchange(stagedLines, 0), 0};
         for (auto& [id, proxy] : proxies) {
             const double lines = std::exchange(proxy.staged, 0);
-            if (lines <= 0 || !proxy.bound) continue; // one that keeps its old table may get no message
+            if (lines <= 0 || proxy.keepsOldTable())
+                continue; // one that keeps its old table may get no message
             proxy.waiting.emplace_back(mark, lines + headLines + 1);
             ++batch.awaited;
         }
--- a/src/platform/channel_report.cpp
+++ b/src/platform/channel_report.cpp
@@ -27,8 +27,8 @@
     ++now_.messages;
 }
 
-void ChannelReport::tell(Micros now, std::size_t unanswered, std::size_t joined, std::size_t unbound) {
-    now_.mostUnanswered = std::max(now_.mostUnanswered, unanswered);
+void ChannelReport::tell(Micros now, const Standing& standing) {
+    now_.mostUnanswered = std::max(now_.mostUnanswered, standing.unanswered);
     if (now_.empty() || now - toldAt_ < kTellEvery) return;
     toldAt_ = now;
     const Interval last = std::exchange(now_, {});
@@ -39,10 +39,11 @@
                           {"levels", last.lines.levels},
                           {"framing", last.lines.framing},
                           {"answers", last.answers},
-                          {"unanswered", unanswered},
+                          {"unanswered", standing.unanswered},
                           {"most_unanswered", last.mostUnanswered},
-                          {"joined", joined},
-                          {"unbound", unbound},
+                          {"held_back", standing.heldBack},
+                          {"joined", standing.joined},
+                          {"unbound", standing.unbound},
                           {"streams_opened", last.opened},
                           {"streams_ended", last.ended},
                           {"taken_over", last.takenOver}});
--- a/src/platform/channel_report.h
+++ b/src/platform/channel_report.h
@@ -28,9 +28,14 @@
     void streamEnded() { ++now_.ended; }
     void takenOver() { ++now_.takenOver; }
 
+    /// How things stand now.
+    struct Standing {
+        std::size_t unanswered = 0;          ///< lines that were written and may still wait in the channel
+        std::size_t heldBack = 0;            ///< lines that were ordered and wait for room
+        std::size_t joined = 0, unbound = 0; ///< proxies
+    };
     /// Logs the event `channel` where a second has passed since the last one and anything happened meanwhile.
-    /// `unanswered`: lines that were written and have no answer yet. `joined`, `unbound`: proxies.
-    void tell(Micros now, std::size_t unanswered, std::size_t joined, std::size_t unbound);
+    void tell(Micros now, const Standing& standing);
 
 private:
     struct Interval {
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -70,9 +70,12 @@
     (out ? held.shutNow : held.letNow).insert(server);
 }
 
+/// A proxy whose next table is not written yet goes on with the one before, which may name any server.
 void Outbox::withdrawn(ServerId server, bool out) {
-    for (auto& [id, held] : held_)
-        if (book_.mayPick(id, server)) tell(held, server, out);
+    for (auto& [id, held] : held_) {
+        const bool former = out && held.hasTable && held.replacesTable();
+        if (former || book_.mayPick(id, server)) tell(held, server, out);
+    }
 }
 
 void Outbox::levelSet(std::optional<TableId> table, ProductSet products) {
@@ -102,78 +105,192 @@
     }
 }
 
-bool Outbox::letBack(ProxyId proxy) {
+bool Outbox::letBack(ProxyId proxy, std::size_t most) {
     const auto found = held_.find(proxy);
     if (found == held_.end()) return false;
     Held& held = found->second;
-    const auto before = held.letNow.size();
+    std::size_t more = 0;
     for (const TableId table : book_.tablesOf(proxy))
-        for (const auto& [server, weight] : book_.table(table).lines)
-            if (!held.shut.contains(server) && !book_.withdrawnServers().contains(server))
-                tell(held, server, false);
-    return held.letNow.size() != before;
+        for (const auto& [server, weight] : book_.table(table).lines) {
+            if (more == most) return true;
+            if (held.shut.contains(server) || book_.withdrawnServers().contains(server)) continue;
+            tell(held, server, false);
+            ++more;
+        }
+    return more > 0;
 }
 
-void Outbox::flush() {
+// ---- writing ----------------------------------------------------------------------------------------------
+
+bool Outbox::Held::replacesTable() const {
+    return std::ranges::any_of(parts, [](const auto& one) { return one.second.whole; });
+}
+
+/// A rule's time limit runs for withdrawals, lines that are taken out, and the first table on a stream.
+bool Outbox::Held::urgent() const {
+    if (!shutNow.empty()) return true;
+    return std::ranges::any_of(parts, [&](const auto& one) {
+        const TablePart& part = one.second;
+        if (part.whole) return !hasTable;
+        return std::ranges::any_of(part.lines, [](const auto& line) { return line.second <= 0; });
+    });
+}
+
+/// Everything that waits, in the order in which it is to be written.
+std::vector<Outbox::Candidate> Outbox::candidates() {
+    std::vector<Candidate> out;
     for (auto& [id, held] : held_) {
         if (held.behind && held.stream->idle()) resync(id, held);
-        if (held.concerned() || held.mark) write(id, held);
+        if (held.behind || (!held.concerned() && !held.mark)) continue;
+        if (!held.since) held.since = book_.now();
+        prepare(id, held);
+        out.push_back({held.urgent() ? Urgency::Deadline : Urgency::Ordinary, *held.since, id});
     }
-    const auto unbound =
-        std::ranges::count_if(held_, [&](const auto& one) { return book_.tablesOf(one.first).empty(); });
-    report_.tell(book_.now(), book_.linesOnTheirWay(), held_.size(), static_cast<std::size_t>(unbound));
+    std::ranges::sort(out);
+    return out;
 }
 
-PushMessage Outbox::message(Held& held) {
-    PushMessage out;
+void Outbox::flush() {
+    linesHeldBack_ = 0;
+    needsMark_ = false;
+    std::optional<Urgency> full; // what is no more urgent than this finds the queue full
+    for (const Candidate& one : candidates()) {
+        Held& held = held_.at(one.proxy);
+        const bool mayFit = !full || one.urgency < *full;
+        const Outcome outcome = mayFit ? write(one.proxy, held, one.urgency) : Outcome::QueueFull;
+        if (outcome == Outcome::QueueFull) full = full ? std::min(*full, one.urgency) : one.urgency;
+        if (!held.concerned()) continue;
+        linesHeldBack_ += countLines(held, Scope::All);
+        needsMark_ |= !held.mark;
+    }
+    report();
+}
+
+/// All of it; where the queue is too full for that, what can't wait.
+Outbox::Outcome Outbox::write(ProxyId proxy, Held& held, Urgency urgency) {
+    const Outcome outcome = write(proxy, held, urgency, Scope::All);
+    if (outcome != Outcome::QueueFull || urgency != Urgency::Deadline) return outcome;
+    return write(proxy, held, urgency, Scope::UrgentOnly);
+}
+
+Outbox::Outcome Outbox::write(ProxyId proxy, Held& held, Urgency urgency, Scope scope) {
+    if (!held.mark) return Outcome::Waits;
+    const std::size_t lines = countLines(held, scope);
+    switch (book_.admits(proxy, lines, urgency)) {
+    case ChannelCredit::Verdict::ProxyWaits: return Outcome::Waits;
+    case ChannelCredit::Verdict::QueueFull: return Outcome::QueueFull;
+    case ChannelCredit::Verdict::Go: break;
+    }
+    const PushMessage message = take(held, scope);
+    const WrittenPush written = writePush(message, names_);
+    counters_.holds(written.lines.total() + book_.headLines() == lines);
+    counters_.holds(written.parts <= kPartsMost);
+    held.behind = !held.stream->push(written.bytes);
+    if (held.behind) return Outcome::Waits;
+    counters_.add(Count::Messages);
+    counters_.add(Count::Parts, written.parts);
+    counters_.add(Count::OrderLines, written.lines.total());
+    report_.written(written.lines);
+    log::debug("message", {{"proxy", proxy.value},
+                           {"mark", held.mark->value},
+                           {"rows", written.lines.rows},
+                           {"withdrawals", written.lines.withdrawals},
+                           {"lines", lines}});
+    book_.written(proxy, *held.mark, lines);
+    held.mark.reset();
+    if (!held.concerned()) held.since.reset();
+    return Outcome::Written;
+}
+
+/// Brings what waits in line with what stands now: tables that were bound over are left out, and so is the shutting
+/// out of servers that the first table does not name. Servers that the tables name are told as they stand.
+void Outbox::prepare(ProxyId proxy, Held& held) {
+    const auto& bound = book_.tablesOf(proxy);
+    std::erase_if(held.parts, [&](const auto& one) { return !bound.contains(one.first); });
+    ProductSet replaced = 0;
     for (auto& [table, part] : held.parts) {
         const orders::TableOrders& standing = book_.table(table);
         part.products = standing.products;
         if (part.whole) {
-            part.lines = standing.lines;
+            replaced = static_cast<ProductSet>(replaced | part.products);
             part.levels.clear();
             for (std::uint16_t p = 0; p < names_.products(); ++p)
                 if (const auto level = book_.levelAt(table, {p}); level && (part.products >> p & 1U))
                     part.levels[{p}] = *level;
         }
-        for (const auto& [server, weight] : part.lines) {
+        for (const auto& [server, weight] : part.whole ? standing.lines : part.lines) {
             const bool shut = book_.withdrawnServers().contains(server);
             if (weight > 0 && (shut || held.shut.contains(server) || names_.returned(server)))
                 tell(held, server, shut);
         }
-        out.tables.push_back(std::move(part));
     }
-    if (!held.loose.empty()) out.tables.push_back({book_.everyProduct(), false, {}, std::move(held.loose)});
+    if (held.hasTable || replaced != book_.everyProduct()) return;
+    std::erase_if(held.shutNow, [&](ServerId server) {
+        const bool named = book_.mayPick(proxy, server);
+        if (!named) held.shut.erase(server);
+        return !named;
+    });
+}
+
+/// As the protocol counts them, the head and the mark among them.
+std::size_t Outbox::countLines(const Held& held, Scope scope) const {
+    std::size_t lines = book_.headLines() + 1 + held.shutNow.size();
+    if (scope == Scope::All) lines += held.letNow.size() + linesOf(held.loose);
+    for (const auto& [table, part] : held.parts) {
+        if (scope == Scope::UrgentOnly && part.whole && held.hasTable) continue;
+        if (part.whole)
+            lines += 1 + book_.table(table).lines.size() + linesOf(part.levels);
+        else if (scope == Scope::All)
+            lines += part.lines.size() + linesOf(part.levels);
+        else
+            lines += static_cast<std::size_t>(
+                std::ranges::count_if(part.lines, [](const auto& line) { return line.second <= 0; }));
+    }
+    return lines;
+}
+
+/// The message, which is not held any more; what the scope leaves out still is.
+PushMessage Outbox::take(Held& held, Scope scope) {
+    PushMessage out;
+    const bool first = !held.hasTable;
+    for (auto& [table, part] : held.parts) {
+        TablePart taken = takePart(table, part, scope, first);
+        held.hasTable |= taken.whole;
+        if (taken.whole || !taken.lines.empty() || !taken.levels.empty())
+            out.tables.push_back(std::move(taken));
+    }
+    std::erase_if(held.parts, [](const auto& one) {
+        return !one.second.whole && one.second.lines.empty() && one.second.levels.empty();
+    });
     out.shut = std::exchange(held.shutNow, {});
-    out.let = std::exchange(held.letNow, {});
     out.mark = held.mark;
-    held.parts.clear();
-    held.loose.clear();
+    if (scope == Scope::UrgentOnly) return out;
+    if (!held.loose.empty())
+        out.tables.push_back({book_.everyProduct(), false, {}, std::exchange(held.loose, {})});
+    out.let = std::exchange(held.letNow, {});
     return out;
 }
 
-/// Guards against a reader so slow that its queue would grow without bound: what it misses is not kept, and
-/// once it has caught up it gets its tables anew, with the last mark.
-void Outbox::write(ProxyId proxy, Held& held) {
-    const PushMessage next = message(held);
-    if (held.behind) return;
-    const WrittenPush written = writePush(next, names_, counters_);
-    held.behind = !held.stream->push(written.bytes);
-    if (held.behind) return;
-    report_.written(written.lines);
-    log::debug("message", {{"proxy", proxy.value},
-                           {"mark", held.mark ? held.mark->value : 0},
-                           {"rows", written.lines.rows},
-                           {"withdrawals", written.lines.withdrawals},
-                           {"lines", written.lines.total()}});
-    if (held.mark) book_.written(proxy, *held.mark, written.lines.total());
-    held.mark.reset();
+TablePart Outbox::takePart(TableId table, TablePart& part, Scope scope, bool first) {
+    TablePart out{part.products, false, {}, {}};
+    if (part.whole) {
+        if (scope == Scope::UrgentOnly && !first) return out;
+        out = std::exchange(part, {});
+        out.lines = book_.table(table).lines;
+        return out;
+    }
+    if (scope == Scope::All) return std::exchange(part, {});
+    for (const auto& [server, weight] : part.lines)
+        if (weight <= 0) out.lines.emplace(server, weight);
+    std::erase_if(part.lines, [](const auto& line) { return line.second <= 0; });
+    return out;
 }
 
 /// What was told on the stream is not known any more: all that may have been is said again.
 void Outbox::resync(ProxyId proxy, Held& held) {
     counters_.add(Count::Resyncs);
     held.behind = false;
+    held.hasTable = false;
     for (const auto& [server, before] : std::exchange(held.shut, {}))
         tell(held, server, book_.withdrawnServers().contains(server));
     for (const TableId table : book_.tablesOf(proxy)) held.parts[table].whole = true;
@@ -181,4 +298,13 @@
         if (book_.mayPick(proxy, server)) tell(held, server, true);
 }
 
+void Outbox::report() {
+    const auto unbound =
+        std::ranges::count_if(held_, [&](const auto& one) { return book_.tablesOf(one.first).empty(); });
+    report_.tell(book_.now(), {.unanswered = book_.linesOnTheirWay(),
+                               .heldBack = linesHeldBack_,
+                               .joined = held_.size(),
+                               .unbound = static_cast<std::size_t>(unbound)});
+}
+
 } // namespace zincstack::net
--- a/src/platform/push_writer.cpp
+++ b/src/platform/push_writer.cpp
@@ -1,5 +1,6 @@
 #include "platform/push_writer.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -7,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t kPartsMost = 64;
 constexpr std::size_t kRowBytesMost = 512 * 1024; // of one part, so that a line stays well under its limit
 
 std::string numberText(double value) {
@@ -41,9 +41,25 @@
     return " gate=" + numberText(level.level) + " again=" + std::to_string(static_cast<int>(level.tries));
 }
 
+/// Products of the same level, each level once.
+std::vector<std::pair<orders::Level, ProductSet>> groupsOf(const orders::LevelLines& levels) {
+    std::vector<std::pair<orders::Level, ProductSet>> groups;
+    for (const auto& [product, level] : levels) {
+        const auto bit = static_cast<ProductSet>(1U << product.value);
+        const auto same = std::ranges::find(groups, level, &std::pair<orders::Level, ProductSet>::first);
+        if (same == groups.end())
+            groups.emplace_back(level, bit);
+        else
+            same->second = static_cast<ProductSet>(same->second | bit);
+    }
+    return groups;
+}
+
 } // namespace
 
-WrittenPush writePush(const PushMessage& message, const Names& names, Counters& counters) {
+std::size_t linesOf(const orders::LevelLines& levels) { return groupsOf(levels).size(); }
+
+WrittenPush writePush(const PushMessage& message, const Names& names) {
     std::vector<std::string> parts;
     LineCounts lines;
     for (const auto& table : message.tables) {
@@ -63,15 +79,7 @@
             if (rows.size() > kRowBytesMost) flush();
         }
         flush();
-        std::vector<std::pair<orders::Level, ProductSet>> alike;
-        for (const auto& [product, level] : table.levels) {
-            const auto bit = static_cast<ProductSet>(1U << product.value);
-            bool found = false;
-            for (auto& [same, of] : alike)
-                if (same == level) of = static_cast<ProductSet>(of | bit), found = true;
-            if (!found) alike.emplace_back(level, bit);
-        }
-        for (const auto& [level, of] : alike) {
+        for (const auto& [level, of] : groupsOf(table.levels)) {
             parts.push_back(forText(of, names) + levelText(level));
             ++lines.levels;
         }
@@ -89,11 +97,7 @@
     std::string out;
     for (std::size_t k = 0; k < parts.size(); ++k)
         out += "push" + parts[k] + (k + 1 < parts.size() ? " part=1\r\n" : "\r\n");
-    counters.holds(parts.size() <= kPartsMost);
-    counters.add(Count::Messages);
-    counters.add(Count::Parts, parts.size());
-    counters.add(Count::OrderLines, lines.total());
-    return {std::move(out), lines};
+    return {std::move(out), lines, parts.size()};
 }
 
 } // namespace zincstack::net
--- a/src/platform/push_writer.h
+++ b/src/platform/push_writer.h
@@ -7,7 +7,6 @@
 #include <string>
 #include <vector>
 
-#include "metrics/counters.h"
 #include "orders/names.h"
 #include "orders/order_book.h"
 #include "platform/channel_report.h"
@@ -30,8 +29,13 @@
 struct WrittenPush {
     std::string bytes;
     LineCounts lines;
+    std::size_t parts = 0; ///< push lines
 };
-/// The message's push lines; its parts and lines go to `counters` too.
-WrittenPush writePush(const PushMessage& message, const Names& names, Counters& counters);
+WrittenPush writePush(const PushMessage& message, const Names& names);
+
+/// Most parts that one message may have.
+inline constexpr std::size_t kPartsMost = 64;
+/// Levels that are alike share a line: how many lines these take.
+std::size_t linesOf(const orders::LevelLines& levels);
 
 } // namespace zincstack::net
--- a/src/pubsub/hub.h
+++ b/src/pubsub/hub.h
@@ -70,6 +70,7 @@
     void forgotten(ServerId server) override;
     void replaced(ProxyId proxy) override;
     void flush() override;
+    double linesOnTheirWay() const override { return static_cast<double>(pacing_.lines()); }
 
     std::size_t subscribers() const { return subscribers_.size(); }
     std::size_t inState(State state) const;
