--- a/src/orders/front.h
+++ b/src/orders/front.h
@@ -20,6 +20,8 @@
     virtual void levelSet(std::optional<TableId> table, ProductSet products) = 0;
     virtual void marked(MarkId number, bool everyProxy) = 0;
     virtual void forgotten(ServerId server) = 0;
+    /// Some proxy has still to be told that the server is taken out.
+    virtual bool owesRemoval(ServerId) const { return false; }
     /// A newer stream of the proxy is up, here or on another front: the one that it has here ends.
     virtual void replaced(ProxyId proxy) = 0;
     /// The batch of orders is complete.
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -132,7 +132,10 @@
     for (auto* front : fronts_) front->marked(number, everyProxy);
 }
 
+/// Guards against a removal that waits for room in the channel while its server is forgotten: nobody would be told.
 bool OrderBook::forget(ServerId server) {
+    if (std::ranges::any_of(fronts_, [&](const Front* front) { return front->owesRemoval(server); }))
+        return false;
     withdrawn_.erase(server);
     for (auto* front : fronts_) front->forgotten(server);
     names_.forget(server);
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -530,12 +530,13 @@
         }
     }
 
-    /// Servers that may get their full part at once: warm, and in this table.
-    std::vector<Index> warmServers(const Table& whole, Micros now) const {
-        std::vector<Index> out;
+    /// Servers that may get their full part at once: warm, and in this table; any others only where none is warm.
+    std::vector<Index> starterServers(const Table& whole, Micros now) const {
+        std::vector<Index> warm, cold;
         for (Index s = 0; s < servers.size(); ++s)
-            if (target(whole, s) > 0 && !servers.withdrawn[s] && health.warmth(s, now) >= 1) out.push_back(s);
-        return out;
+            if (target(whole, s) > 0 && !servers.withdrawn[s])
+                (health.warmth(s, now) >= 1 ? warm : cold).push_back(s);
+        return warm.empty() ? cold : warm;
     }
     /// All that keep an old table and can be bound over later get a starter table, busiest first.
     void startJoiners(Micros now) {
@@ -547,10 +548,10 @@
         const Index wholes = wholeTables();
         for (Index whole = 0; whole < wholes; ++whole) {
             if (!tables[whole].used) continue;
-            const auto warm = warmServers(tables[whole], now);
-            for (const auto& [table, s] : starters.refill(whole, warm)) addRow(tables[table], s);
+            const auto usable = starterServers(tables[whole], now);
+            for (const auto& [table, s] : starters.refill(whole, usable)) addRow(tables[table], s);
             if (order.empty()) continue;
-            for (const auto& [table, s] : starters.deal(whole, warm)) addRow(tables[table], s);
+            for (const auto& [table, s] : starters.deal(whole, usable)) addRow(tables[table], s);
         }
         std::ranges::sort(order);
         for (const auto& [rate, id] : order) start(id, wholes);
@@ -579,7 +580,7 @@
         for (Index whole = 0; whole < wholes; ++whole) {
             if (tables[whole].zone != proxy.zone) continue;
             const auto table = starters.assign(whole, proxy.rate());
-            if (!table) return; // nothing is warm: it keeps what it holds
+            if (!table) return; // no server is left for it: it keeps what it holds
             given.push_back(*table);
         }
         proxy.starters = std::move(given);
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -105,6 +105,16 @@
     }
 }
 
+bool Outbox::owesRemoval(ServerId server) const {
+    return std::ranges::any_of(held_, [&](const auto& one) {
+        const Held& held = one.second;
+        if (!held.concerned()) return false;
+        return held.shutNow.contains(server) || std::ranges::any_of(held.parts, [&](const auto& part) {
+                   return part.second.lines.contains(server);
+               });
+    });
+}
+
 bool Outbox::letBack(ProxyId proxy, std::size_t most) {
     const auto found = held_.find(proxy);
     if (found == held_.end()) return false;
--- a/src/platform/outbox.h
+++ b/src/platform/outbox.h
@@ -38,6 +38,7 @@
     void levelSet(std::optional<TableId> table, ProductSet products) override;
     void marked(MarkId number, bool everyProxy) override;
     void forgotten(ServerId server) override;
+    bool owesRemoval(ServerId server) const override;
     void replaced(ProxyId proxy) override;
     void flush() override;
     bool letBack(ProxyId proxy, std::size_t most) override;
--- a/src/pubsub/pacing.cpp
+++ b/src/pubsub/pacing.cpp
@@ -22,7 +22,6 @@
                          own.bytes + bytes <= kOwnTimes[place] * terms_.bytesEach;
     if ((!ownFits && own.bytes > 0) || (own.stuck && urgency != Urgency::Withdrawal)) return Verdict::OwnFull;
     if (all_.bytes + bytes > kOwnTimes[place] * terms_.bytesAll && all_.bytes > 0) return Verdict::AllFull;
-    if (own.stuck) return Verdict::Go; // its lines are none of the shared queue's
     const auto all = static_cast<double>(all_.lines + elsewhere + lines);
     if (all > kPartOf[place] * terms_.queueMost && all_.lines + elsewhere > 0) return Verdict::AllFull;
     return Verdict::Go;
@@ -32,7 +31,7 @@
     own.lines += lines;
     own.bytes += bytes;
     all_.bytes += bytes;
-    if (!own.stuck) all_.lines += lines;
+    all_.lines += lines;
     mostLines_ = std::max(mostLines_, all_.lines);
 }
 
@@ -40,14 +39,11 @@
     own.lines -= lines;
     own.bytes -= bytes;
     all_.bytes -= bytes;
-    if (!own.stuck) all_.lines -= lines;
+    all_.lines -= lines;
     if (own.bytes == 0) own.stuck = false;
 }
 
-void Pacing::stuck(Window& own) {
-    if (std::exchange(own.stuck, true)) return;
-    all_.lines -= own.lines;
-}
+void Pacing::stuck(Window& own) { own.stuck = true; }
 
 void Pacing::wait(SubscriberId subscriber, Urgency urgency, bool first) {
     auto& line = waiting_[static_cast<std::size_t>(urgency)];
--- a/src/pubsub/pacing.h
+++ b/src/pubsub/pacing.h
@@ -46,10 +46,10 @@
                 std::size_t elsewhere) const;
     void sent(Window& own, std::size_t lines, std::size_t bytes);
     void answered(Window& own, std::size_t lines, std::size_t bytes);
-    /// It has answered nothing for a while. Its lines have left the queue that all share, as the planner's own
-    /// ledger takes it; until it has answered them all it gets withdrawals alone.
+    /// It has answered nothing for a while: until it has answered all of its lines it gets withdrawals alone. They
+    /// count as long as they have no answer; no time-out shows that they have left the queue.
     void stuck(Window& own);
-    std::size_t lines() const { return all_.lines; } ///< of those that do not stand still
+    std::size_t lines() const { return all_.lines; }
     std::size_t bytes() const { return all_.bytes; }
     std::size_t mostLines() const { return mostLines_; } ///< ever at once
 
