--- a/src/orders/front.h
+++ b/src/orders/front.h
@@ -30,7 +30,8 @@
     virtual bool letBack(ProxyId, std::size_t /*most*/) { return false; }
     /// Lines on their way on a channel of its own, beside those that the book counts.
     virtual double linesOnTheirWay() const { return 0; }
-    /// Lines that were ordered and are held back until the channel has room for them.
+    /// Lines that were ordered and are held back until the channel has room for them; not those that wait for a proxy
+    /// that stands still.
     virtual double linesHeldBack() const { return 0; }
     /// Something is held back that has no mark to go with.
     virtual bool needsMark() const { return false; }
--- a/src/planner/planner.h
+++ b/src/planner/planner.h
@@ -147,7 +147,7 @@
     /// Lets back at a bound proxy those of its tables' servers, `most` at the most, that an earlier stream may have
     /// shut out there: a line each. False: there is none.
     virtual bool letBack(ProxyId, std::size_t /*most*/) { return false; }
-    /// Lines that may still wait in the channel, and those that are held back from it, as encoded. None: the
+    /// Lines that may still wait in the channel, and those that wait for room in it, as encoded. None: the
     /// caller can't tell, and they have to be reckoned. Whoever can tell keeps the limit of the queue by itself:
     /// orders that do not fit wait and merge.
     virtual std::optional<double> pendingLines() const { return {}; }
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -170,8 +170,9 @@
         const Outcome outcome = mayFit ? write(one.proxy, held, one.urgency) : Outcome::QueueFull;
         if (outcome == Outcome::QueueFull) full = full ? std::min(*full, one.urgency) : one.urgency;
         if (!held.concerned()) continue;
-        linesHeldBack_ += countLines(held, Scope::All);
         needsMark_ |= !held.mark;
+        // What waits for its own proxy is no load on the channel: others must not wait for one that stands still.
+        if (outcome != Outcome::Waits) linesHeldBack_ += countLines(held, Scope::All);
     }
     report();
 }
--- a/tests/channel_credit_test.cpp
+++ b/tests/channel_credit_test.cpp
@@ -207,6 +207,26 @@
     EXPECT_EQ(first.take(), "push rows=s-0:0" + stamp);
 }
 
+/// The module paces by what is pending: rows kept for a proxy that stood still held up everybody's.
+TEST_F(Writer, WhatWaitsForAProxyThatStandsStillIsNoLoadOnTheChannel) {
+    book.setLine(kTable, servers[3], 1);
+    end();
+    EXPECT_NE(first.take(), ""); // it never answers
+    answer(kTwo);
+    for (int k = 0; k < 3; ++k) { // others go on
+        now += 1s;
+        outbox.joined(kTwo, {0}, second);
+        book.bind(kTwo, 0, kTable);
+        end();
+        answer(kTwo);
+    }
+    EXPECT_EQ(book.pendingLines(), 8); // one row, head and mark
+    for (std::size_t k = 4; k < 12; ++k) book.setLine(kTable, servers[k], 1);
+    end();
+    EXPECT_EQ(first.take(), "");
+    EXPECT_EQ(book.pendingLines(), 8 + 15); // what the other was written, not what waits for the first
+}
+
 TEST_F(Writer, AServerIsNotForgottenWhileItsRemovalWaits) {
     for (std::size_t k = 3; k < 12; ++k) book.setLine(kTable, servers[k], 1);
     end();
