--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -306,7 +306,7 @@
     OrderSink& sink;
     const ChannelTerms terms;
     const double standingLines;
-    Outbox outbox{proxies, terms.headLines};
+    MessageLedger messages{proxies, terms.headLines};
     std::optional<Micros> sentAt = {};
     std::uint32_t marks = 0;
 
@@ -319,11 +319,11 @@
     bool counted() const { return sink.pendingLines().has_value(); }
     double lines() const {
         const auto pending = sink.pendingLines();
-        return pending ? *pending + outbox.stagedLines : outbox.lines();
+        return pending ? *pending + messages.stagedLines : messages.lines();
     }
     /// Whether an urgent order of so many lines may be given.
     bool hasRoom(double each) const {
-        return counted() || kUrgentRoom * terms.queueMost - outbox.lines() >= each;
+        return counted() || kUrgentRoom * terms.queueMost - messages.lines() >= each;
     }
     /// For what can wait, beside what is on its way: the queue stays short for what can't.
     double spare(Micros span) const {
@@ -344,14 +344,14 @@
             Proxy& proxy = proxies[id];
             proxy.bound = true;
             proxy.starters.clear();
-            const double before = outbox.stagedLines;
+            const double before = messages.stagedLines;
             for (const auto& table : tables) {
                 if (table.starterOf || !table.serves(proxy)) continue;
                 sink.bind(id, table.products, table.id);
                 const auto held = std::ranges::count_if(table.standing, [](double w) { return w > 0; });
-                outbox.stage(proxy, 1 + static_cast<double>(held + out + std::ssize(table.levels)));
+                messages.stage(proxy, 1 + static_cast<double>(held + out + std::ssize(table.levels)));
             }
-            budget -= outbox.stagedLines - before;
+            budget -= messages.stagedLines - before;
         }
     }
 
@@ -361,18 +361,18 @@
         for (auto& [id, proxy] : proxies) {
             if (!proxy.bound || std::exchange(proxy.cleared, true) || !sink.letBack(id, servers.size()))
                 continue;
-            outbox.stage(proxy, servers.sum([&](Index s) { return targetOf(servers, s) > 0; }));
+            messages.stage(proxy, servers.sum([&](Index s) { return targetOf(servers, s) > 0; }));
             if (spare(kIdle) <= 0) return;
         }
     }
 
     /// Closes the message of every proxy that something was ordered for with a mark; marks wrap under 65536.
     std::optional<MarkId> send(Micros now) {
-        if (outbox.stagedLines <= 0 && !sink.needsMark()) return {};
+        if (messages.stagedLines <= 0 && !sink.needsMark()) return {};
         marks = marks % 65535 + 1;
         const MarkId mark{static_cast<std::uint16_t>(marks)};
         sink.mark(mark, false);
-        outbox.close(mark, now);
+        messages.close(mark, now);
         sentAt = now;
         return mark;
     }
@@ -455,7 +455,7 @@
                 if (std::abs(level - before) <= kLevelStep * std::max(level, before)) continue;
                 sink.admit(table.id, static_cast<ProductSet>(1U << p), level, FurtherTries::AfterProof);
                 before = level;
-                channel.outbox.charge(table, 1);
+                channel.messages.charge(table, 1);
             }
     }
 
@@ -564,7 +564,7 @@
         table.standing.resize(servers.size(), 0);
         table.standing[s] = targetOf(servers, s);
         sink.setLine(table.id, servers.id[s], table.standing[s]);
-        channel.outbox.charge(table, 1);
+        channel.messages.charge(table, 1);
     }
     /// Starter tables that nobody holds any more are emptied, to be dealt anew for those who join later.
     void emptyUnheld() {
@@ -601,7 +601,7 @@
         }
         // An earlier planner may have withdrawn what it names.
         if (!proxy.onlyStanding && sink.letBack(id, kLetBackFirst)) rows += kLetBackFirst;
-        channel.outbox.stage(proxy, rows + 1);
+        channel.messages.stage(proxy, rows + 1);
     }
 
     /// When the last of those joined that keep an old table: it may name what was withdrawn before.
@@ -629,7 +629,7 @@
     }
     bool answered(Micros now) const {
         return phase == Phase::Sent && sentAt != now &&
-               (now - sentAt >= kRoundMost || channel.outbox.answered(mark));
+               (now - sentAt >= kRoundMost || channel.messages.answered(mark));
     }
 
     /// A zone where no proxy has joined needs no lines.
@@ -650,14 +650,14 @@
         sink.withdraw(servers.id[s], out);
         servers.withdrawn[s] = out;
         const double named = kOldLines * channel.standingLines / static_cast<double>(servers.known());
-        channel.outbox.chargeOld(std::min(1.0, named), again ? servers.withdrawnAt[s] : -1us);
+        channel.messages.chargeOld(std::min(1.0, named), again ? servers.withdrawnAt[s] : -1us);
         servers.withdrawnAt[s] = batchAt;
     }
     void line(Table& table, Index s) {
         table.standing[s] = target(table, s);
         if (table.standing[s] > 0 && servers.withdrawn[s]) withdraw(s, false);
         sink.setLine(table.id, servers.id[s], table.standing[s]);
-        channel.outbox.charge(table, 1);
+        channel.messages.charge(table, 1);
     }
 
     struct Node {
@@ -778,7 +778,7 @@
         proxies_[id] = {
             .zone = zone, .onlyStanding = onlyStanding, .usage = usage, .waiting = {}, .joinedAt = now_};
     }
-    void left(ProxyId id) override { channel_.outbox.left(id); }
+    void left(ProxyId id) override { channel_.messages.left(id); }
     void sums(const ServerSums& line) override { health_.sums(line); }
     void usage(const UsageSums& line) override {
         const auto found = proxies_.find(line.proxy);
@@ -788,7 +788,7 @@
         const double heard = line.txns / seconds(line.span);
         rate = heard + std::pow(kUsageFade, seconds(line.span)) * (rate - heard);
     }
-    void applied(ProxyId id, MarkId number) override { channel_.outbox.applied(id, number); }
+    void applied(ProxyId id, MarkId number) override { channel_.messages.applied(id, number); }
     void probed(const ProbeResult& result) override { health_.probed(result, now_); }
     void woken() override { awake_ = false; }
 
@@ -802,7 +802,7 @@
         health_.probes(now_);
         if (!channel_.open(now_)) return;
         health_.rise(levels_.asked(proxies_), rounds_.phase == Phase::Idle || rounds_.answered(now_), now_);
-        channel_.outbox.forget(now_ - kForgotten, now_ - kUnasked);
+        channel_.messages.forget(now_ - kForgotten, now_ - kUnasked);
         const bool idle = channel_.spare(kIdle) > 0;
         for (auto& table : rounds_.tables) {
             table.standing.resize(servers_.size(), 0);
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -153,9 +153,10 @@
     }
 };
 
-/// The lines on their way: staged in this batch, or sent and perhaps still in the channel. Messages leave in
-/// order, so an answer to one tells that all sent before it have left.
-struct Outbox {
+/// Which messages have no answer yet, and the lines on their way as reckoned where no front counts them: staged in
+/// this batch, or sent and perhaps still in the channel. Messages leave in order, so an answer to one tells that all
+/// sent before it have left.
+struct MessageLedger {
     struct Batch {
         MarkId mark;
         Micros sentAt;
