--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -71,9 +71,8 @@
 }
 
 void tell(Level level, std::string_view event, const Fields& fields) {
-    const auto place = kLevels[static_cast<std::size_t>(level)];
-    if (!spdlog::default_logger_raw()->should_log(place)) return;
-    spdlog::default_logger_raw()->log(place,
+    if (!enabled(level)) return;
+    spdlog::default_logger_raw()->log(kLevels[static_cast<std::size_t>(level)],
                                       spdlog::string_view_t(lineOf(formatInUse(), level, event, fields)));
 }
 
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -37,9 +37,10 @@
 /// To standard error from now on; what is below the level is left out. May be called again.
 void start(Format format, Level least);
 void tell(Level level, std::string_view event, const Fields& fields);
-/// Whether what has that level is written at all; asked before fields are made that may be many.
+/// Whether what has that level is written at all.
 bool enabled(Level level);
 inline void info(std::string_view event, const Fields& fields = {}) { tell(Level::Info, event, fields); }
+/// Its fields are copied only where they are written: it stands on hot paths.
 inline void debug(std::string_view event, const std::initializer_list<Field>& fields) {
     if (enabled(Level::Debug)) tell(Level::Debug, event, fields);
 }
--- a/src/orders/order_book.cpp
+++ b/src/orders/order_book.cpp
@@ -8,12 +8,6 @@
 
 namespace zincstack::orders {
 
-namespace {
-
-constexpr Micros kSweepEvery = std::chrono::seconds(1); // streams are looked at for silence
-
-} // namespace
-
 OrderBook::OrderBook(net::Names& names, net::Counters& counters, std::function<void(ServerId)> probe,
                      std::function<void(Micros)> wake, const ChannelTerms& channel)
     : names_(names), counters_(counters), probe_(std::move(probe)), wake_(std::move(wake)),
@@ -163,10 +157,7 @@
 
 void OrderBook::flush(Micros now) {
     now_ = now;
-    if (now - sweptAt_ >= kSweepEvery) {
-        sweptAt_ = now;
-        credit_.sweep();
-    }
+    credit_.sweep(now);
     for (auto* front : fronts_) front->flush();
 }
 
--- a/src/orders/order_book.h
+++ b/src/orders/order_book.h
@@ -114,7 +114,6 @@
     std::map<ProxyId, Member> members_;
     const std::size_t headLines_;
     ChannelCredit credit_;
-    Micros sweptAt_{};
     Micros now_{};
 };
 
--- a/src/planner/channel_credit.cpp
+++ b/src/planner/channel_credit.cpp
@@ -9,12 +9,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr double kDeadlineShare = 0.95;       // of the limit, for what a rule's time limit runs for
-constexpr double kOrdinaryShare = 0.5;        // for all else: the queue stays short for what can't wait
 constexpr std::size_t kUnansweredMost = 1024; // messages to one proxy
 constexpr std::size_t kOverdueMost = 4;       // messages to one proxy that stands still
 constexpr Micros kAnswerSlack = 1s;  // beyond the longest way of a message, before an answer is overdue
 constexpr Micros kSilentAfter = 10s; // overdue for so long: the stream is taken to be dead
+constexpr Micros kSweepEvery = 1s;
 
 } // namespace
 
@@ -71,7 +70,9 @@
     if (lines > 0) ended_.push_back({nextSequence_, lines});
 }
 
-void ChannelCredit::sweep() {
+void ChannelCredit::sweep(Micros now) {
+    if (now - sweptAt_ < kSweepEvery) return;
+    sweptAt_ = now;
     for (auto& [proxy, stream] : streams_)
         if (overdue(stream) > kSilentAfter) giveUp(stream);
 }
--- a/src/planner/channel_credit.h
+++ b/src/planner/channel_credit.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 
 #include "planner/planner.h"
 
@@ -20,6 +19,10 @@
     Ordinary, ///< all else
 };
 
+/// Parts of the queue's limit: for what a rule's time limit runs for, and for all else, so that the queue stays short
+/// for what can't wait. The module paces by the same parts, and so does the pub-sub channel.
+inline constexpr double kDeadlineShare = 0.95, kOrdinaryShare = 0.5;
+
 class ChannelCredit {
 public:
     /// Terms without a limit (`queueMost` of 0) admit everything.
@@ -42,8 +45,8 @@
     /// The proxy has answered the mark: that message has left the channel, and so has each one written to it before.
     /// False where no such mark waits for its answer.
     bool answered(ProxyId proxy, MarkId mark);
-    /// Once in a while: what silent streams were written counts like that of streams that have ended.
-    void sweep();
+    /// Looks for silent streams, once a second at most: what they were written counts like that of ended ones.
+    void sweep(Micros now);
 
     /// Lines that may still wait in the channel.
     double waiting() const { return waiting_; }
@@ -75,7 +78,8 @@
     std::deque<Ended> ended_; // oldest first
     std::uint64_t nextSequence_ = 0;
     double waiting_ = 0;
-    std::size_t awaited_ = 0;      // counted messages on open streams
+    std::size_t awaited_ = 0; // counted messages on open streams
+    Micros sweptAt_{};
     Micros newestAnsweredWrite_{}; // when the newest message that has been answered was written
 };
 
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -11,6 +11,7 @@
 //   5 channel pacing  lines on their way bound the queue: urgent first, then joiners, then rounds
 //   6 starting over   nothing is trusted after a start: all proxies are bound anew, busiest first
 #include "planner/planner.h"
+#include "planner/channel_credit.h"
 #include "planner/starter_tables.h"
 #include "planner/state.h"
 
@@ -31,8 +32,7 @@
 constexpr double kHeadroom = 1.2, kColdLean = 1.25; // capacity over listed share; lead over slowest warming
 constexpr int kRungs = 5, kGoodProbes = 2;          // a server rises by fifths; returns after so many
 constexpr Micros kBeat = 100ms, kEndedLong = 30s;   // how often an idle planner looks; no old table is older
-constexpr double kFallPart = 0.75; // part of the falling multiple that a cold server is brought
-constexpr double kOrdinaryRoom = 0.5, kUrgentRoom = 0.95; // parts of the queue: for what can wait, and can't
+constexpr double kFallPart = 0.75;              // part of the falling multiple that a cold server is brought
 constexpr Micros kBatch = 500ms, kIdle = 100ms; // what can wait: so much of the channel, when so little waits
 constexpr double kOldLines = 2, kWorn = 0.25;   // old tables: naming a server over the average; out: in need
 constexpr std::size_t kLetBackFirst = 2;        // servers of a starter table that are surely not shut out
@@ -323,12 +323,12 @@
     }
     /// Whether an urgent order of so many lines may be given.
     bool hasRoom(double each) const {
-        return counted() || kUrgentRoom * terms.queueMost - messages.lines() >= each;
+        return counted() || kDeadlineShare * terms.queueMost - messages.lines() >= each;
     }
     /// For what can wait, beside what is on its way: the queue stays short for what can't.
     double spare(Micros span) const {
         const double most = terms.linesPerSecond * seconds(terms.meanTransit + span);
-        return std::min(most, kOrdinaryRoom * terms.queueMost) - lines();
+        return std::min(most, kOrdinaryShare * terms.queueMost) - lines();
     }
 
     /// Proxies that keep an old table are bound a few at a time, busiest first.
@@ -742,7 +742,7 @@
     Decider(std::uint64_t seed, const FleetTerms& fleet, const ForwarderTerms& forwarders,
             const ChannelTerms& channel, const GuardTerms& guards, std::span<const ProductTerms> products,
             OrderSink& sink)
-        : sink_(sink), guards_(guards), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
+        : sink_(sink), sliced_(fleet.sliced), mustFollow_(fleet.listMustBeAsked),
           health_(servers_, sink, fleet, guards,
                   std::ranges::min(products, {}, &ProductTerms::slaTime).slaTime,
                   std::mt19937(static_cast<std::uint32_t>(seed))),
@@ -836,14 +836,13 @@
         double ended = 1;
         for (Index s = 0; s < servers_.size(); ++s)
             ended += servers_.duty[s] == Ended && !servers_.forgotten[s] &&
-                     servers_.changedAt[s] > now_ - guards_.drainGrace;
+                     servers_.changedAt[s] > now_ - health_.guards.drainGrace;
         const auto bound = static_cast<double>(
             std::ranges::count_if(proxies_, [](const auto& one) { return one.second.bound; }));
-        return bound * (channel_.terms.headLines + 1 + ended) <= kOrdinaryRoom * channel_.terms.queueMost;
+        return bound * (channel_.terms.headLines + 1 + ended) <= kOrdinaryShare * channel_.terms.queueMost;
     }
 
     OrderSink& sink_;
-    const GuardTerms guards_;
     const bool sliced_;
     bool mustFollow_, awake_ = false;
     Micros now_{};
--- a/src/platform/channel_report.cpp
+++ b/src/platform/channel_report.cpp
@@ -27,9 +27,13 @@
     ++now_.messages;
 }
 
+void ChannelReport::sample(std::size_t unanswered) {
+    now_.mostUnanswered = std::max(now_.mostUnanswered, unanswered);
+}
+
+bool ChannelReport::due(Micros now) const { return !now_.empty() && now - toldAt_ >= kTellEvery; }
+
 void ChannelReport::tell(Micros now, const Standing& standing) {
-    now_.mostUnanswered = std::max(now_.mostUnanswered, standing.unanswered);
-    if (now_.empty() || now - toldAt_ < kTellEvery) return;
     toldAt_ = now;
     const Interval last = std::exchange(now_, {});
     log::info("channel", {{"messages", last.messages},
--- a/src/platform/channel_report.h
+++ b/src/platform/channel_report.h
@@ -34,7 +34,11 @@
         std::size_t heldBack = 0;            ///< lines that were ordered and wait for room
         std::size_t joined = 0, unbound = 0; ///< proxies
     };
-    /// Logs the event `channel` where a second has passed since the last one and anything happened meanwhile.
+    /// How many lines may still wait in the channel now; the most of an interval is told.
+    void sample(std::size_t unanswered);
+    /// A second has passed since the last event, and anything happened meanwhile.
+    bool due(Micros now) const;
+    /// Logs the event `channel` and begins the next interval.
     void tell(Micros now, const Standing& standing);
 
 private:
--- a/src/platform/outbox.cpp
+++ b/src/platform/outbox.cpp
@@ -310,6 +310,8 @@
 }
 
 void Outbox::report() {
+    report_.sample(book_.linesOnTheirWay());
+    if (!report_.due(book_.now())) return;
     const auto unbound =
         std::ranges::count_if(held_, [&](const auto& one) { return book_.tablesOf(one.first).empty(); });
     report_.tell(book_.now(), {.unanswered = book_.linesOnTheirWay(),
--- a/src/pubsub/pacing.cpp
+++ b/src/pubsub/pacing.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "planner/channel_credit.h"
+
 namespace zincstack::pubsub {
 
 namespace {
 
-// Parts of the queue, as the decision module's own: urgent orders use 0.95 of it, what can wait a half.
-constexpr double kPartOf[kUrgencies] = {0.95, 0.75, 0.5};
+// Parts of the queue: withdrawals and snapshots as the decision module's own, changes between.
+constexpr double kPartOf[kUrgencies] = {kDeadlineShare, 0.75, kOrdinaryShare};
 // Of its own window a withdrawal may use twice: it goes out beside what a slow reader has not taken yet.
 constexpr std::size_t kOwnTimes[kUrgencies] = {2, 1, 1};
 
--- a/tests/channel_credit_test.cpp
+++ b/tests/channel_credit_test.cpp
@@ -29,7 +29,7 @@
     for (const ProxyId proxy : {kOne, kTwo}) credit.streamOpened(proxy);
     credit.written(kOne, {1}, 900, 1s);
     EXPECT_EQ(urgent(credit, kTwo, 100, 1s), Verdict::QueueFull);
-    credit.sweep();
+    credit.sweep(1h);
     EXPECT_EQ(urgent(credit, kTwo, 100, 1h), Verdict::QueueFull);
     EXPECT_TRUE(credit.answered(kOne, {1}));
     EXPECT_FALSE(credit.answered(kOne, {1}));
@@ -72,7 +72,7 @@
         const Micros now = k * 1s;
         credit.written(kTwo, {k}, 10, now);
         EXPECT_TRUE(credit.answered(kTwo, {k}));
-        credit.sweep();
+        credit.sweep(now);
         if (k == 4) {
             EXPECT_EQ(credit.admits(kOne, 10, Urgency::Ordinary, 0, now), Verdict::ProxyWaits);
             EXPECT_EQ(credit.admits(kOne, 10, Urgency::Deadline, 0, now), Verdict::Go);
