--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -348,8 +348,8 @@
             for (const auto& table : tables) {
                 if (table.starterOf || !table.serves(proxy)) continue;
                 sink.bind(id, table.products, table.id);
-                const auto held = std::ranges::count_if(table.standing, [](double w) { return w > 0; });
-                messages.stage(proxy, 1 + static_cast<double>(held + out + std::ssize(table.levels)));
+                const auto others = static_cast<double>(out + std::ssize(table.levels));
+                messages.stage(proxy, 1 + table.rows() + others);
             }
             budget -= messages.stagedLines - before;
         }
@@ -543,9 +543,10 @@
         std::vector<std::pair<double, ProxyId>> order;
         for (const auto& [id, proxy] : proxies)
             if (proxy.keepsOldTable() && sink.rebinds(id)) order.emplace_back(-proxy.rate(), id);
+        const Index wholes = wholeTables();
+        if (order.empty() && wholes == tables.size()) return;
         starters.count();
         emptyUnheld();
-        const Index wholes = wholeTables();
         for (Index whole = 0; whole < wholes; ++whole) {
             if (!tables[whole].used) continue;
             const auto usable = starterServers(tables[whole], now);
@@ -596,8 +597,7 @@
         double rows = 0;
         for (const Index t : proxy.starters) {
             sink.bind(id, tables[t].products, tables[t].id);
-            rows += 1 + static_cast<double>(
-                            std::ranges::count_if(tables[t].standing, [](double w) { return w > 0; }));
+            rows += 1 + tables[t].rows();
         }
         // An earlier planner may have withdrawn what it names.
         if (!proxy.onlyStanding && sink.letBack(id, kLetBackFirst)) rows += kLetBackFirst;
--- a/src/planner/state.h
+++ b/src/planner/state.h
@@ -144,6 +144,9 @@
         if (!starterOf) return proxy.bound && proxy.zone == zone;
         return std::ranges::find(proxy.starters, Index{id.value}) != proxy.starters.end();
     }
+    double rows() const { ///< servers that it names
+        return static_cast<double>(std::ranges::count_if(standing, [](double weight) { return weight > 0; }));
+    }
     double usage(const Proxies& all) const { ///< txns a second of the proxies that it serves
         double sum = 0;
         for (const auto& [proxyId, proxy] : all)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -167,18 +167,11 @@
 
     // ---- what was seen ------------------------------------------------------------------------------------
 
-    double waitingLines() const { return waiting; }
-    double mostWaiting() const { return most; }
-    std::size_t boundProxies() const {
-        return static_cast<std::size_t>(
-            std::ranges::count_if(proxies, [](const auto& one) { return one.second.replaced; }));
-    }
     ServerSet readyServers() const {
         ServerSet out;
         for (std::size_t k = 0; k < servers.size(); ++k) out[k] = servers[k].state == ListedState::Ready;
         return out;
     }
-    const ServerSet& tableOf(std::uint16_t proxy) const { return proxies.at(proxy).holds[0]; }
 
     FleetFigures terms;
     Micros now{1000s};
@@ -211,7 +204,7 @@
         std::uint64_t generation = 0;
         std::uint8_t zone = 0;
         Micros joinedAt{};
-        bool stalled = false, replaced = false;
+        bool stalled = false;
         std::array<ServerSet, kProducts> holds;
         ServerSet shutOut;
         std::optional<Micros> bareSince;
@@ -291,7 +284,6 @@
         const double lines = terms.headLines + linesOf(bytes);
         queue.push_back({proxy, proxies.at(proxy).generation, lines, std::string(bytes)});
         waiting += lines;
-        most = std::max(most, waiting);
         auto& writtenAt = proxies.at(proxy).writtenAt;
         writtenAt.push_back(now);
         while (now - writtenAt.front() > kMessagesOver) writtenAt.pop_front();
@@ -338,7 +330,6 @@
                 });
             }
             if (name == "replace") {
-                one.replaced = true;
                 for (const auto product : products) one.holds[product].reset();
             }
             if (name == "rows")
@@ -412,7 +403,7 @@
     std::map<std::uint16_t, Proxy> proxies;
     std::deque<Message> queue, flight;
     Micros startedAt{}, lastDecision{};
-    double waiting = 0, most = 0, credit = 0;
+    double waiting = 0, credit = 0;
     std::uint64_t generations = 0;
     bool isOpen = false, pending = false;
 };
--- a/tests/incident_test.cpp
+++ b/tests/incident_test.cpp
@@ -40,7 +40,6 @@
         Peer peer;
         int number;
         double lines = 0;
-        std::set<std::string> told = {}; ///< lines of the messages so far
         void hello() { peer.write("hello proxy=" + std::to_string(number) + " zone=a weight=9 fresh=0\r\n"); }
         /// The next line; a message ends with the one that has no `part`.
         std::string next(bool answers) {
@@ -65,8 +64,7 @@
 
     std::uint16_t startIncident() {
         terms = kIncidentTerms;
-        const std::uint16_t port = startAnywhere();
-        return port;
+        return startAnywhere();
     }
     std::deque<Proxy> joined(std::uint16_t port, int first, int end) {
         std::deque<Proxy> out;
