Log how many proxies are stalled: acknowledgements overdue, changes waiting

Change: the event 'channel' counts the proxies with pending changes whose acknowledgements are overdue (stalled=). No decision changes.

--- a/src/planner/channel_credit.cpp
+++ b/src/planner/channel_credit.cpp
@@ -46,12 +46,20 @@
         stream.writeTimes, [&](Micros writtenAt) { return now - writtenAt <= limits_.messageWindow; });
     const auto maxMessages = static_cast<std::ptrdiff_t>(limits_.maxMessagesPerProxy);
     if (maxMessages > 0 && recentMessages >= maxMessages) return true;
-    const bool isStalled = acknowledgementLag(stream) > 2 * limits_.worstTransitTime + kAckSlack;
-    if (!isStalled) return stream.unacknowledged.size() >= kMaxUnacknowledgedMessages;
+    if (!isStalled(stream)) return stream.unacknowledged.size() >= kMaxUnacknowledgedMessages;
     return urgency != Urgency::Deadline ||
            stream.unacknowledged.size() >= kMaxUnacknowledgedMessagesWhileStalled;
 }
 
+bool ChannelCredit::isStalled(ProxyId proxy) const {
+    const auto found = streams_.find(proxy);
+    return found != streams_.end() && isStalled(found->second);
+}
+
+bool ChannelCredit::isStalled(const Stream& stream) const {
+    return acknowledgementLag(stream) > 2 * limits_.worstTransitTime + kAckSlack;
+}
+
 Micros ChannelCredit::acknowledgementLag(const Stream& stream) const {
     if (stream.unacknowledged.empty()) return Micros{};
     return std::max(newestAcknowledgedWrite_ - stream.unacknowledged.front().writtenAt, Micros{});
--- a/src/planner/channel_credit.h
+++ b/src/planner/channel_credit.h
@@ -46,6 +46,9 @@
     Admission check(ProxyId proxy, double lines, Urgency urgency, double otherTransportLines,
                     Micros now) const;
 
+    /// Whether the proxy's acknowledgements are overdue, so that it gets only few messages.
+    bool isStalled(ProxyId proxy) const;
+
     void sessionOpened(ProxyId proxy);
     /// Lines that were written to the session's stream may still be in the channel: they count until a
     /// message written after the end of the session is acknowledged.
@@ -83,6 +86,7 @@
         double lines;
     };
     bool mustWait(const Stream& stream, Urgency urgency, Micros now) const;
+    bool isStalled(const Stream& stream) const;
     /// Time from the write of the stream's oldest unacknowledged message to the write of the newest message
     /// that any proxy has acknowledged; zero if no message is unacknowledged.
     Micros acknowledgementLag(const Stream& stream) const;
--- a/src/platform/channel_statistics.cpp
+++ b/src/platform/channel_statistics.cpp
@@ -50,6 +50,7 @@
                           {"deferred", gauges.deferredLines},
                           {"joined", gauges.joinedProxies},
                           {"unassigned", gauges.unassignedProxies},
+                          {"stalled", gauges.stalledProxies},
                           {"streams_opened", ended.streamsOpened},
                           {"streams_closed", ended.streamsClosed},
                           {"streams_replaced", ended.streamsReplaced}});
--- a/src/platform/channel_statistics.h
+++ b/src/platform/channel_statistics.h
@@ -38,6 +38,7 @@
         std::size_t deferredLines = 0;       ///< waiting for capacity in the channel
         std::size_t joinedProxies = 0;
         std::size_t unassignedProxies = 0; ///< joined, but without an assigned table
+        std::size_t stalledProxies = 0;    ///< with overdue acknowledgements and changes that wait for them
     };
     /// Whether a log interval has passed since the last log event and there has been activity since.
     bool isDue(Micros now) const;
--- a/src/platform/update_queue.cpp
+++ b/src/platform/update_queue.cpp
@@ -189,10 +189,14 @@
     if (!statistics_.isDue(state_.now())) return;
     const auto unassigned = std::ranges::count_if(
         sessions_, [&](const auto& entry) { return state_.tablesOf(entry.first).empty(); });
+    const auto stalled = std::ranges::count_if(sessions_, [&](const auto& entry) {
+        return entry.second.pending.hasChanges() && state_.isStalled(entry.first);
+    });
     statistics_.logInterval(state_.now(), {.unacknowledgedLines = state_.unacknowledgedLines(),
                                            .deferredLines = deferredLines_,
                                            .joinedProxies = sessions_.size(),
-                                           .unassignedProxies = static_cast<std::size_t>(unassigned)});
+                                           .unassignedProxies = static_cast<std::size_t>(unassigned),
+                                           .stalledProxies = static_cast<std::size_t>(stalled)});
 }
 
 } // namespace zincstack::net
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -61,6 +61,8 @@
 
     /// Whether a message of `lines` lines may be written to the proxy in the current batch.
     ChannelCredit::Admission checkCredit(ProxyId proxy, std::size_t lines, Urgency urgency) const;
+    /// Whether the proxy's acknowledgements are overdue, see ChannelCredit.
+    bool isStalled(ProxyId proxy) const { return credit_.isStalled(proxy); }
     /// Records that a message that ends with the barrier was written to the proxy.
     void messageWritten(ProxyId proxy, BarrierId barrier, std::size_t lines);
     std::size_t messageOverheadLines() const { return messageOverheadLines_; }
