--- a/src/planner/channel_credit.cpp
+++ b/src/planner/channel_credit.cpp
@@ -11,16 +11,20 @@
 
 using namespace std::chrono_literals;
 
-/// Maximum number of unacknowledged messages per proxy.
-constexpr std::size_t kMaxUnacknowledgedMessages = 1024;
-/// The same while the proxy is stalled. Updates that are not written yet merge with later ones.
-constexpr std::size_t kMaxUnacknowledgedMessagesWhileStalled = 4;
-/// Acknowledgement lag beyond the worst-case round trip after which a proxy counts as stalled.
+/// Maximum number of unanswered messages per proxy, and of messages for which an acknowledgement is accepted.
+constexpr std::size_t kMaxUnansweredMessages = 1024;
+/// Maximum number of unanswered messages, when another one with a deadline is written to a stalled proxy.
+/// Updates that are not written yet merge with later ones.
+constexpr std::size_t kMaxUnansweredDeadlineMessagesWhileStalled = 4;
+/// The same for other messages. The first one after a silence shows whether the proxy is back.
+constexpr std::size_t kMaxUnansweredOrdinaryMessagesWhileStalled = 1;
+/// Input lag beyond the worst-case round trip after which a proxy counts as stalled.
 constexpr Micros kAckSlack = 1s;
-/// Acknowledgement lag after which a stream counts as silent.
+/// Age, compared with the newest acknowledged message, at which a message is given up, and input lag after
+/// which a stream counts as silent.
 constexpr Micros kSilenceTimeout = 10s;
-/// Minimum time between two checks for silent streams.
-constexpr Micros kSilenceCheckInterval = 1s;
+/// Minimum time between two checks for overdue messages.
+constexpr Micros kOverdueCheckInterval = 1s;
 
 } // namespace
 
@@ -39,16 +43,20 @@
     return mayUseReserve ? Admission::Granted : Admission::QueueFull;
 }
 
-/// Whether the proxy has reached its limit of messages within the window or of unacknowledged messages. A
-/// stalled proxy gets only messages with a deadline, and few of them.
+/// Whether the proxy has reached its limit of messages within the window or of unanswered messages.
 bool ChannelCredit::mustWait(const Stream& stream, Urgency urgency, Micros now) const {
     const auto recentMessages = std::ranges::count_if(
         stream.writeTimes, [&](Micros writtenAt) { return now - writtenAt <= limits_.messageWindow; });
     const auto maxMessages = static_cast<std::ptrdiff_t>(limits_.maxMessagesPerProxy);
     if (maxMessages > 0 && recentMessages >= maxMessages) return true;
-    if (!isStalled(stream)) return stream.unacknowledged.size() >= kMaxUnacknowledgedMessages;
-    return urgency != Urgency::Deadline ||
-           stream.unacknowledged.size() >= kMaxUnacknowledgedMessagesWhileStalled;
+    const auto unanswered = std::ranges::count_if(stream.unacknowledged, &Message::isUnanswered);
+    return static_cast<std::size_t>(unanswered) >= maxUnansweredMessages(stream, urgency);
+}
+
+std::size_t ChannelCredit::maxUnansweredMessages(const Stream& stream, Urgency urgency) const {
+    if (!isStalled(stream)) return kMaxUnansweredMessages;
+    return urgency == Urgency::Deadline ? kMaxUnansweredDeadlineMessagesWhileStalled
+                                        : kMaxUnansweredOrdinaryMessagesWhileStalled;
 }
 
 bool ChannelCredit::isStalled(ProxyId proxy) const {
@@ -57,12 +65,13 @@
 }
 
 bool ChannelCredit::isStalled(const Stream& stream) const {
-    return acknowledgementLag(stream) > 2 * limits_.worstTransitTime + kAckSlack;
+    return stream.isSilent || inputLag(stream) > 2 * limits_.worstTransitTime + kAckSlack;
 }
 
-Micros ChannelCredit::acknowledgementLag(const Stream& stream) const {
-    if (stream.unacknowledged.empty()) return Micros{};
-    return std::max(newestAcknowledgedWrite_ - stream.unacknowledged.front().writtenAt, Micros{});
+Micros ChannelCredit::inputLag(const Stream& stream) const {
+    const auto oldest = std::ranges::find_if(stream.unacknowledged, &Message::isUnanswered);
+    if (oldest == stream.unacknowledged.end()) return Micros{};
+    return std::max(newestAcknowledgedWrite_ - std::max(oldest->writtenAt, stream.lastInputAt), Micros{});
 }
 
 void ChannelCredit::sessionOpened(ProxyId proxy) {
@@ -73,15 +82,16 @@
 void ChannelCredit::sessionEnded(ProxyId proxy) {
     const auto found = streams_.find(proxy);
     if (found == streams_.end()) return;
-    moveToEnded(found->second);
+    giveUpMessages(found->second, Micros::max());
     streams_.erase(found);
 }
 
-/// Stops awaiting the stream's acknowledgements. Its messages may still be in the channel, so their lines
-/// count until a later message is acknowledged.
-void ChannelCredit::moveToEnded(Stream& stream) {
+/// The given up messages may still be in the channel, so their lines count until a later message is
+/// acknowledged.
+void ChannelCredit::giveUpMessages(Stream& stream, Micros writtenBefore) {
     double lines = 0;
     for (Message& message : stream.unacknowledged) {
+        if (message.writtenAt >= writtenBefore) break;
         if (!std::exchange(message.isAwaited, false)) continue;
         lines += message.lines;
         --awaitedMessages_;
@@ -89,11 +99,35 @@
     if (lines > 0) ended_.push_back({nextSequence_, lines});
 }
 
-void ChannelCredit::detectSilentSessions(Micros now) {
-    if (now - silenceCheckedAt_ < kSilenceCheckInterval) return;
-    silenceCheckedAt_ = now;
-    for (auto& [proxy, stream] : streams_)
-        if (acknowledgementLag(stream) > kSilenceTimeout) moveToEnded(stream);
+void ChannelCredit::giveUpOverdueMessages(Micros now) {
+    if (now - overdueCheckedAt_ < kOverdueCheckInterval) return;
+    overdueCheckedAt_ = now;
+    for (auto& [proxy, stream] : streams_) {
+        if (inputLag(stream) > kSilenceTimeout) stream.isSilent = true;
+        giveUpMessages(stream, newestAcknowledgedWrite_ - kSilenceTimeout);
+        dropOldestGivenUp(stream);
+    }
+}
+
+/// Bounds the memory for messages that are kept only in case they are acknowledged very late.
+void ChannelCredit::dropOldestGivenUp(Stream& stream) {
+    auto& messages = stream.unacknowledged;
+    while (messages.size() > kMaxUnansweredMessages && !messages.front().isAwaited) messages.pop_front();
+}
+
+void ChannelCredit::inputReceived(ProxyId proxy, Micros now) {
+    const auto found = streams_.find(proxy);
+    if (found == streams_.end()) return;
+    found->second.lastInputAt = now;
+    found->second.isSilent = false;
+}
+
+void ChannelCredit::unusableAcknowledgementReceived(ProxyId proxy) {
+    const auto found = streams_.find(proxy);
+    if (found == streams_.end()) return;
+    auto& messages = found->second.unacknowledged;
+    const auto oldest = std::ranges::find(messages, false, &Message::hasUnusableAnswer);
+    if (oldest != messages.end()) oldest->hasUnusableAnswer = true;
 }
 
 void ChannelCredit::messageWritten(ProxyId proxy, BarrierId barrier, double lines, Micros now) {
@@ -114,6 +148,7 @@
     auto& messages = stream->second.unacknowledged;
     const auto found = std::ranges::find(messages, barrier, &Message::barrier);
     if (found == messages.end()) return false;
+    stream->second.isSilent = false;
     const Message newest = *found;
     newestAcknowledgedWrite_ = std::max(newestAcknowledgedWrite_, newest.writtenAt);
     for (auto message = messages.begin(); message != found + 1; ++message) {
--- a/src/planner/channel_credit.h
+++ b/src/planner/channel_credit.h
@@ -3,6 +3,10 @@
 // HTTP/2: a message is charged at its encoded size when its bytes are handed to a stream, and only an
 // acknowledgement returns its credit, never an estimate or a time-out.
 //
+// An acknowledgement can be lost, for instance because it arrives unreadable. The account then waits for the
+// acknowledgement of a later message, which settles the earlier ones too. Hence a proxy that is alive must get
+// later messages: only a proxy from which nothing arrives is restricted.
+//
 // No I/O, and deterministic: the caller passes in the time. Line counts include the overhead of messages.
 // Owns the state of the streams and of the unacknowledged messages.
 #pragma once
@@ -37,7 +41,7 @@
 
     enum class Admission : std::uint8_t {
         Granted,
-        ProxyBlocked, ///< no session, too many messages to this proxy, or its acknowledgements are overdue
+        ProxyBlocked, ///< no session, too many messages to this proxy, or the proxy is stalled
         QueueFull,    ///< no message of this size and urgency may be written to any proxy
     };
     /// Whether a message of `lines` lines may be written to the proxy now. `otherTransportLines`: lines on
@@ -46,7 +50,8 @@
     Admission check(ProxyId proxy, double lines, Urgency urgency, double otherTransportLines,
                     Micros now) const;
 
-    /// Whether the proxy's acknowledgements are overdue, so that it gets only few messages.
+    /// Whether the proxy's acknowledgements are overdue and nothing else arrives from it, so that it gets only
+    /// few messages.
     bool isStalled(ProxyId proxy) const;
 
     void sessionOpened(ProxyId proxy);
@@ -60,10 +65,17 @@
     /// was found silent are excepted: their credit returns like that of ended streams. Returns false if the
     /// proxy has no unacknowledged message with this barrier.
     bool acknowledged(ProxyId proxy, BarrierId barrier);
-    /// Treats the lines written to silent streams like those of ended streams. A stream is silent if its
-    /// oldest unacknowledged message is much older than the newest one that any proxy has acknowledged. The
-    /// check runs at most once per second; further calls have no effect.
-    void detectSilentSessions(Micros now);
+    /// Records that something arrived from the proxy: it is alive, so a missing acknowledgement is lost rather
+    /// than late. Returns no credit.
+    void inputReceived(ProxyId proxy, Micros now);
+    /// Records an acknowledgement that does not tell which message it belongs to. Proxies acknowledge messages
+    /// in order, so the oldest message without an answer is assumed to be answered; it no longer counts against
+    /// the proxy's limits. Returns no credit.
+    void unusableAcknowledgementReceived(ProxyId proxy);
+    /// Treats the lines of messages whose acknowledgements are given up like those of ended streams. A message
+    /// is given up if it is much older than the newest one that any proxy has acknowledged. The check runs at
+    /// most once per second; further calls have no effect.
+    void giveUpOverdueMessages(Micros now);
 
     /// Lines that may still be in the channel.
     double unacknowledgedLines() const { return unacknowledgedLines_; }
@@ -74,23 +86,33 @@
         BarrierId barrier;
         double lines;
         Micros writtenAt;
-        bool isAwaited = true; // false: its stream is silent, and its lines count in `ended_`
+        bool isAwaited = true;          // false: given up, and its lines count in `ended_`
+        bool hasUnusableAnswer = false; // answered, but by an acknowledgement that could not be used
+
+        /// Whether an acknowledgement of the message can still arrive.
+        bool isUnanswered() const { return isAwaited && !hasUnusableAnswer; }
     };
     struct Stream {
         std::deque<Message> unacknowledged; // oldest first
         std::deque<Micros> writeTimes;      // within the last messageWindow
+        Micros lastInputAt{};
+        bool isSilent = false; // no input for a long time; until the next input
     };
-    /// Lines that were written to an ended or silent stream and not acknowledged.
+    /// Lines that were written to an ended stream, or given up, and not acknowledged.
     struct EndedStream {
         std::uint64_t firstLaterSequence; // sequence of the first message written after the end
         double lines;
     };
     bool mustWait(const Stream& stream, Urgency urgency, Micros now) const;
+    std::size_t maxUnansweredMessages(const Stream& stream, Urgency urgency) const;
     bool isStalled(const Stream& stream) const;
-    /// Time from the write of the stream's oldest unacknowledged message to the write of the newest message
-    /// that any proxy has acknowledged; zero if no message is unacknowledged.
-    Micros acknowledgementLag(const Stream& stream) const;
-    void moveToEnded(Stream& stream);
+    /// Time from the write of the stream's oldest unanswered message, or from the stream's last input if that
+    /// is later, to the write of the newest message that any proxy has acknowledged. Zero if no message is
+    /// unanswered.
+    Micros inputLag(const Stream& stream) const;
+    /// Gives up the stream's messages that were written before the time.
+    void giveUpMessages(Stream& stream, Micros writtenBefore);
+    static void dropOldestGivenUp(Stream& stream);
     void returnCredit(double lines);
 
     const ControlChannelLimits limits_;
@@ -99,7 +121,7 @@
     std::uint64_t nextSequence_ = 0;
     double unacknowledgedLines_ = 0;
     std::size_t awaitedMessages_ = 0;
-    Micros silenceCheckedAt_{};
+    Micros overdueCheckedAt_{};
     Micros newestAcknowledgedWrite_{}; // write time of the newest acknowledged message of all streams
 };
 
--- a/src/platform/input_translator.cpp
+++ b/src/platform/input_translator.cpp
@@ -153,16 +153,24 @@
     batches_.openBatch().proxyLeft(proxy);
 }
 
+void InputTranslator::streamActive(ProxyId proxy, const PushStream& stream) {
+    updates_.inputReceived(proxy, stream, batches_.now());
+}
+
 void InputTranslator::handleAck(const Message& message, ProxyId proxy, const PushStream& stream) {
     const auto namedProxy = readProxy(message);
     const auto mark = message.count("mark", kMaxId);
-    if (!mark || !namedProxy || *namedProxy != proxy || !readDuration(message, "took_ms"))
-        return counters_.recordIgnored(Counter::BadField,
-                                       "ack: missing or invalid field, or not this stream's proxy");
+    const bool valid = mark && namedProxy && *namedProxy == proxy && readDuration(message, "took_ms");
+    if (!valid)
+        counters_.recordIgnored(Counter::BadField,
+                                "ack: missing or invalid field, or not this stream's proxy");
     if (!updates_.ownsSession(proxy, stream)) return counters_.add(Counter::Stale);
+    if (!valid) return updates_.unusableAcknowledgementReceived(proxy);
     const BarrierId barrier{static_cast<std::uint16_t>(*mark)};
-    if (!updates_.barrierAcknowledged(proxy, barrier))
-        return counters_.recordIgnored(Counter::BadMark, "ack: no unacknowledged message has this mark");
+    if (!updates_.barrierAcknowledged(proxy, barrier)) {
+        counters_.recordIgnored(Counter::BadMark, "ack: no unacknowledged message has this mark");
+        return updates_.unusableAcknowledgementReceived(proxy);
+    }
     counters_.add(Counter::Acks);
     batches_.openBatch().barrierAcknowledged(proxy, barrier);
 }
--- a/src/platform/input_translator.h
+++ b/src/platform/input_translator.h
@@ -34,6 +34,8 @@
     /// `sender`: the proxy that sent the message; std::nullopt if a collector sent it.
     void handleDemand(const Message& message, std::optional<ProxyId> sender);
 
+    /// Called when a message arrives on a proxy's stream, whether or not it is valid.
+    void streamActive(ProxyId proxy, const PushStream& stream);
     /// Called when a proxy's stream has ended. Ignored if the proxy has opened a newer stream.
     void streamClosed(ProxyId proxy, const PushStream& stream);
     /// Returns false if any entry is invalid. The valid entries are still passed on, but a snapshot then
--- a/src/platform/peer_session.cpp
+++ b/src/platform/peer_session.cpp
@@ -84,6 +84,7 @@
         counters_.recordIgnored(message ? Counter::BadKind : Counter::BadLine, line);
         return handleUnreadable(line);
     }
+    if (proxy_) inputs_.streamActive(*proxy_, stream_);
     const auto input = static_cast<Input>(kind - std::begin(kMessageKinds));
     return handle(std::min(input, Input::OtherMessage), *message, line);
 }
--- a/src/platform/update_queue.cpp
+++ b/src/platform/update_queue.cpp
@@ -41,6 +41,15 @@
     return state_.proxyLeft(proxy, *this);
 }
 
+void UpdateQueue::inputReceived(ProxyId proxy, const PushStream& stream, Micros now) {
+    if (ownsSession(proxy, stream)) state_.inputReceived(proxy, now);
+}
+
+void UpdateQueue::unusableAcknowledgementReceived(ProxyId proxy) {
+    log::debug("unusable_acknowledgement", {{"proxy", proxy.value}});
+    state_.unusableAcknowledgementReceived(proxy);
+}
+
 bool UpdateQueue::barrierAcknowledged(ProxyId proxy, BarrierId barrier) {
     if (!state_.barrierAcknowledged(proxy, barrier)) return false;
     statistics_.barrierAcknowledged();
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -216,7 +216,7 @@
 
 void RoutingState::flush(Micros now) {
     now_ = now;
-    credit_.detectSilentSessions(now);
+    credit_.giveUpOverdueMessages(now);
     for (UpdateTransport* transport : transports_) transport->flush();
 }
 
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -61,7 +61,11 @@
 
     /// Whether a message of `lines` lines may be written to the proxy in the current batch.
     ChannelCredit::Admission checkCredit(ProxyId proxy, std::size_t lines, Urgency urgency) const;
-    /// Whether the proxy's acknowledgements are overdue, see ChannelCredit.
+    /// Records that something arrived from the proxy, and that an acknowledgement could not be used. Neither
+    /// returns credit.
+    void inputReceived(ProxyId proxy, Micros now) { credit_.inputReceived(proxy, now); }
+    void unusableAcknowledgementReceived(ProxyId proxy) { credit_.unusableAcknowledgementReceived(proxy); }
+    /// Whether the proxy's acknowledgements are overdue and nothing else arrives from it, see ChannelCredit.
     bool isStalled(ProxyId proxy) const { return credit_.isStalled(proxy); }
     /// Records that a message that ends with the barrier was written to the proxy.
     void messageWritten(ProxyId proxy, BarrierId barrier, std::size_t lines);
--- a/tests/channel_credit_test.cpp
+++ b/tests/channel_credit_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -26,7 +27,7 @@
     for (const ProxyId proxy : {kFirst, kSecond}) credit.sessionOpened(proxy);
     credit.messageWritten(kFirst, {1}, 900, 1s);
     EXPECT_EQ(checkUrgent(credit, kSecond, 100, 1s), Admission::QueueFull);
-    credit.detectSilentSessions(1h);
+    credit.giveUpOverdueMessages(1h);
     EXPECT_EQ(checkUrgent(credit, kSecond, 100, 1h), Admission::QueueFull);
     EXPECT_TRUE(credit.acknowledged(kFirst, {1}));
     EXPECT_FALSE(credit.acknowledged(kFirst, {1}));
@@ -75,7 +76,7 @@
         const Micros now = k * 1s;
         credit.messageWritten(kSecond, {k}, 10, now);
         EXPECT_TRUE(credit.acknowledged(kSecond, {k}));
-        credit.detectSilentSessions(now);
+        credit.giveUpOverdueMessages(now);
         if (k == 4) {
             EXPECT_EQ(credit.check(kFirst, 10, Urgency::Ordinary, 0, now), Admission::ProxyBlocked);
             EXPECT_EQ(credit.check(kFirst, 10, Urgency::Deadline, 0, now), Admission::Granted);
@@ -87,6 +88,70 @@
     EXPECT_EQ(credit.unacknowledgedLines(), 0);
 }
 
+/// Writes a message to the second proxy, which acknowledges it: the clock by which other proxies are late.
+void letSecondProxyProgress(ChannelCredit& credit, std::uint16_t barrier, Micros now) {
+    credit.messageWritten(kSecond, {barrier}, 10, now);
+    EXPECT_TRUE(credit.acknowledged(kSecond, {barrier}));
+    credit.giveUpOverdueMessages(now);
+}
+
+/// Regression (docs/incidents/2026-12-lost-acknowledgements.md): lost acknowledgements stopped all updates to a
+/// proxy whose stream was alive, for as long as the stream lasted.
+TEST(ChannelCredit, LostAcknowledgementsDoNotRestrictAProxyThatIsAlive) {
+    for (const bool answersArriveUnusable : {true, false}) {
+        ChannelCredit credit(kLimits);
+        for (const ProxyId proxy : {kFirst, kSecond}) credit.sessionOpened(proxy);
+        for (std::uint16_t k = 1; k <= 30; ++k) {
+            const Micros now = k * 1s;
+            letSecondProxyProgress(credit, k, now);
+            EXPECT_EQ(credit.check(kFirst, 10, Urgency::Ordinary, 0, now), Admission::Granted) << k;
+            EXPECT_EQ(checkUrgent(credit, kFirst, 10, now), Admission::Granted) << k;
+            credit.messageWritten(kFirst, {k}, 10, now);
+            if (answersArriveUnusable) credit.unusableAcknowledgementReceived(kFirst);
+            credit.inputReceived(kFirst, now + 300ms);
+            EXPECT_GE(credit.unacknowledgedLines(), 10 * std::min<int>(k, 10))
+                << k; // no credit returned early
+        }
+        EXPECT_LE(credit.unacknowledgedLines(), 130);
+        EXPECT_TRUE(credit.acknowledged(kFirst, {30})); // settles the earlier messages too
+        letSecondProxyProgress(credit, 31, 31s);
+        EXPECT_EQ(credit.unacknowledgedLines(), 0);
+    }
+}
+
+/// Regression (docs/incidents/2026-12-lost-acknowledgements.md): a proxy that sends nothing but
+/// acknowledgements got no ordinary update any more after a single unusable one.
+TEST(ChannelCredit, OneUnusableAcknowledgementDoesNotRestrictAProxyWithoutTraffic) {
+    ChannelCredit credit(kLimits);
+    for (const ProxyId proxy : {kFirst, kSecond}) credit.sessionOpened(proxy);
+    credit.messageWritten(kFirst, {1}, 10, 1s);
+    credit.inputReceived(kFirst, 1300ms);
+    credit.unusableAcknowledgementReceived(kFirst);
+    for (std::uint16_t k = 2; k <= 30; ++k) {
+        letSecondProxyProgress(credit, k, k * 1s);
+        EXPECT_EQ(credit.check(kFirst, 10, Urgency::Ordinary, 0, k * 1s), Admission::Granted) << k;
+    }
+}
+
+/// Regression (docs/incidents/2026-12-lost-acknowledgements.md): the messages of a stream that had been silent
+/// counted against its limit for good, so that no later message could show that the proxy was back.
+TEST(ChannelCredit, ASilentProxyKeepsGettingAFewMessages) {
+    ChannelCredit credit(kLimits);
+    for (const ProxyId proxy : {kFirst, kSecond}) credit.sessionOpened(proxy);
+    constexpr int kMaxGapSeconds = 12; // 10 s until the previous message is given up, two steps of 1 s
+    int lastWritten = 0;
+    for (std::uint16_t k = 1; k <= 60; ++k) {
+        const Micros now = k * 1s;
+        letSecondProxyProgress(credit, k, now);
+        if (credit.check(kFirst, 10, Urgency::Ordinary, 0, now) != Admission::Granted) continue;
+        credit.messageWritten(kFirst, {k}, 10, now);
+        EXPECT_LE(k - lastWritten, kMaxGapSeconds);
+        lastWritten = k;
+        EXPECT_LE(credit.unacknowledgedLines(), 50);
+    }
+    EXPECT_GT(lastWritten, 60 - kMaxGapSeconds);
+}
+
 TEST(ChannelCredit, LimitsMessagesPerProxyWithinTheWindow) {
     ControlChannelLimits limits = kLimits;
     limits.maxMessagesPerProxy = 2;
@@ -121,13 +186,18 @@
     for (int k = 0; k < steps; ++k) {
         const ProxyId proxy{*rc::gen::inRange<std::uint16_t>(0, 5)};
         now += *rc::gen::inRange(1, 3000) * 1ms;
-        const int step = *rc::gen::inRange(0, 8);
+        const int step = *rc::gen::inRange(0, 10);
         if (step == 0) {
             credit.sessionOpened(proxy);
             openSessions[proxy] = ++sessionCount;
         } else if (step == 1) {
             credit.sessionEnded(proxy);
             openSessions.erase(proxy);
+        } else if (step == 8) {
+            credit.inputReceived(proxy, now);
+            credit.unusableAcknowledgementReceived(proxy);
+        } else if (step == 9) {
+            credit.giveUpOverdueMessages(now);
         } else if (step < 5 && !channel.empty()) {
             // The first message arrives. Its proxy may acknowledge it if the session is still open.
             const Message first = channel.front();
--- a/tests/update_queue_test.cpp
+++ b/tests/update_queue_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "platform_harness.h"
@@ -148,6 +149,38 @@
     EXPECT_EQ(stream.take(), "push replace=1 rows=s-1:0.5,s-2:1 drop=s-2 undrop=s-1 stamp=11\r\n");
 }
 
+/// Regression (docs/incidents/2026-12-lost-acknowledgements.md): an unusable acknowledgement stopped ordinary
+/// updates to a proxy, although its stream was alive.
+TEST_F(UpdateQueueTest, AStreamThatStillBringsMessagesGetsUpdatesAfterALostAcknowledgement) {
+    for (const std::string_view input :
+         {"ack proxy=17 mark=1\r\n", "ack proxy=17 mark=1 took_ms=x\r\n", "ack proxy=99 mark=1 took_ms=1\r\n",
+          "ack proxy=17 mark=99 took_ms=1\r\n",
+          "demand proxy=17 class=order tries=1 failed=0 span_ms=1\r\n"}) {
+        registerTwoEndpoints();
+        CapturingStream stream;
+        CapturingStream otherStream;
+        const auto session = openProxySession(stream);
+        updates.sessionOpened({3}, {1}, otherStream);
+        const Micros start = batches.now() - 30s;
+        const auto writeWeight = [&](std::uint16_t step) {
+            state.setWeight(table, readyEndpoint, step);
+            if (step == 1)
+                for (const ProxyId proxy : {ProxyId{3}, ProxyId{17}}) state.assignTable(proxy, 0, table);
+            state.requestBarrier({step}, false);
+            state.flush(start + step * 5s);
+            EXPECT_TRUE(updates.barrierAcknowledged({3}, {step}));
+        };
+        writeWeight(1);
+        EXPECT_TRUE(session->feed(input));
+        writeWeight(2);
+        stream.take();
+        writeWeight(3);
+        EXPECT_EQ(stream.take(), "push rows=s-1:3 stamp=3\r\n") << input;
+        updates.sessionClosed({3}, otherStream);
+        session->connectionClosed();
+    }
+}
+
 constexpr ProxyId kFirst{1};
 constexpr ProxyId kSecond{2};
 
