Admit one message into a queue that is full of lost acknowledgements

Their lines fill the queue, no message may be written, and only a message's acknowledgement could return the credit.

Cause (ChannelCredit::check): the reserve could be used only while no acknowledgement is awaited, and a lost one is awaited for ever.

Change: it can also be used once everything awaited is overdue: nothing written for as long as a full queue, the slowest round trip and a second take. No credit is returned and the limit is never passed, however slow the channel is.

--- a/src/planner/channel_credit.cpp
+++ b/src/planner/channel_credit.cpp
@@ -36,11 +36,20 @@
     const double fraction = urgency == Urgency::Deadline ? kDeadlineQueueFraction : kOrdinaryQueueFraction;
     const double linesAfter = unacknowledgedLines_ + otherTransportLines + lines;
     if (linesAfter <= fraction * limits_.maxQueuedLines) return Admission::Granted;
-    // The queue may be full of lines written to ended streams, and only the acknowledgement of a later
-    // message proves that they have left it. Therefore one message at a time may use the reserve, even a
-    // message that exceeds the fraction by itself.
-    const bool mayUseReserve = awaitedMessages_ == 0 && linesAfter <= limits_.maxQueuedLines;
-    return mayUseReserve ? Admission::Granted : Admission::QueueFull;
+    // The queue may be full of lines written to ended streams, or of lines whose acknowledgements are lost, and
+    // only the acknowledgement of a later message proves that they have left it. Therefore one message at a
+    // time may use the reserve, even a message that exceeds the fraction by itself.
+    const bool mayUseReserve = awaitedMessages_ == 0 || areAllAcknowledgementsOverdue(now);
+    return mayUseReserve && linesAfter <= limits_.maxQueuedLines ? Admission::Granted : Admission::QueueFull;
+}
+
+/// Whether even a full queue should have been delivered and acknowledged since the last message was written.
+bool ChannelCredit::areAllAcknowledgementsOverdue(Micros now) const {
+    Micros deliveryTime = 2 * limits_.worstTransitTime + kAckSlack;
+    if (limits_.linesPerSecond > 0)
+        deliveryTime += std::chrono::duration_cast<Micros>(
+            std::chrono::duration<double>(limits_.maxQueuedLines / limits_.linesPerSecond));
+    return now - lastWriteAt_ > deliveryTime;
 }
 
 /// Whether the proxy has reached its limit of messages within the window or of unanswered messages.
@@ -135,6 +144,7 @@
     if (found == streams_.end()) return;
     Stream& stream = found->second;
     stream.unacknowledged.push_back({nextSequence_++, barrier, lines, now});
+    lastWriteAt_ = now;
     ++awaitedMessages_;
     unacknowledgedLines_ += lines;
     if (limits_.maxMessagesPerProxy == 0) return;
--- a/src/planner/channel_credit.h
+++ b/src/planner/channel_credit.h
@@ -46,7 +46,8 @@
     };
     /// Whether a message of `lines` lines may be written to the proxy now. `otherTransportLines`: lines on
     /// the channels of other transports, which count against the same limit. While no acknowledgement is
-    /// awaited, one message may use the whole queue, including the reserve.
+    /// awaited, or all that are awaited are overdue, one message may use the whole queue, including the
+    /// reserve.
     Admission check(ProxyId proxy, double lines, Urgency urgency, double otherTransportLines,
                     Micros now) const;
 
@@ -104,6 +105,7 @@
         double lines;
     };
     bool mustWait(const Stream& stream, Urgency urgency, Micros now) const;
+    bool areAllAcknowledgementsOverdue(Micros now) const;
     std::size_t maxUnansweredMessages(const Stream& stream, Urgency urgency) const;
     bool isStalled(const Stream& stream) const;
     /// Time from the write of the stream's oldest unanswered message, or from the stream's last input if that
@@ -122,6 +124,7 @@
     double unacknowledgedLines_ = 0;
     std::size_t awaitedMessages_ = 0;
     Micros overdueCheckedAt_{};
+    Micros lastWriteAt_{};             // of all streams
     Micros newestAcknowledgedWrite_{}; // write time of the newest acknowledged message of all streams
 };
 
