--- a/bench/pubsub_planner_side.cpp
+++ b/bench/pubsub_planner_side.cpp
@@ -60,7 +60,7 @@
     const tcp::endpoint loopback(asio::ip::address_v4::loopback(), 0);
     listener_ = std::make_shared<net::Listener>(io, loopback, proxies + kSpareConnections,
                                                 net::SessionAcceptor::kMaxQueuedBytes, counters, bufferPool,
-                                                bufferPool, std::move(makePeer));
+                                                std::move(makePeer));
     listener_->start();
     return listener_->address();
 }
--- a/src/command/daemon.cpp
+++ b/src/command/daemon.cpp
@@ -87,8 +87,9 @@
 Daemon::Daemon(DaemonConfig config)
     : config_(std::move(config)), listenAddress_(requireAddress("listen", config_.startFile.listen)),
       discoveryAddress_(requireAddress("discovery", config_.startFile.discovery)),
-      budget_(resourceBudgetOf(config_)), lineBlocks_(budget_.lineBlocks), pushBlocks_(budget_.pushBlocks),
-      io_(1), terminationSignals_(io_, SIGTERM, SIGINT), statisticsSignals_(io_, SIGUSR1),
+      budget_(resourceBudgetOf(config_)), lineBlocks_(budget_.lineBlocks),
+      responseBlocks_(budget_.responseBlocks), pushBlocks_(budget_.pushBlocks), io_(1),
+      terminationSignals_(io_, SIGTERM, SIGINT), statisticsSignals_(io_, SIGUSR1),
       reloadSignals_(io_, SIGHUP), names_(config_.settings.requestClassNames, config_.settings.zoneNames),
       routingState_(
           names_, counters_, [this](EndpointId endpoint) { prober_.probe(endpoint); },
@@ -96,19 +97,19 @@
       updateQueue_(routingState_, names_, counters_), planner_(makePlannerOf(config_, routingState_)),
       batchRunner_(io_, *planner_, routingState_, counters_, config_.settings.tick),
       inputTranslator_(batchRunner_, updateQueue_, names_, counters_, config_.settings.proxies.proxyCount),
-      prober_(io_, names_, inputTranslator_, counters_, lineBlocks_, budget_.probes,
+      prober_(io_, names_, inputTranslator_, counters_, responseBlocks_, budget_.probes,
               config_.settings.connectTimeout, !config_.settings.reportColumns.empty()),
       sessionAcceptor_(inputTranslator_, counters_, lineBlocks_),
       listener_(std::make_shared<net::Listener>(
-          io_, listenAddress_, budget_.peers, net::SessionAcceptor::kMaxQueuedBytes, counters_, lineBlocks_,
-          pushBlocks_, [this](net::Connection& connection) { return sessionAcceptor_.accept(connection); })),
+          io_, listenAddress_, budget_.peers, net::SessionAcceptor::kMaxQueuedBytes, counters_, pushBlocks_,
+          [this](net::Connection& connection) { return sessionAcceptor_.accept(connection); })),
       discoveryWatch_(
           config_.startFile.discovery,
           [this](EndpointListUpdate update, const json::Value& members) {
               return applyEndpointList(update, members);
           },
           counters_, budget_.listBytes),
-      discoveryDriver_(io_, discoveryAddress_, discoveryWatch_, lineBlocks_),
+      discoveryDriver_(io_, discoveryAddress_, discoveryWatch_, responseBlocks_),
       pubsubConfig_(config_.operatorConfig.pubsub.value_or(config::PubsubConfig{})),
       pubsubService_(
           io_, counters_, pushBlocks_, [this] { return makeSubscriptionServer(); },
--- a/src/command/daemon.h
+++ b/src/command/daemon.h
@@ -73,6 +73,7 @@
     net::Counters counters_;
     const net::ResourceBudget budget_;
     net::BufferPool lineBlocks_;
+    net::BufferPool responseBlocks_;
     net::BufferPool pushBlocks_;
 
     boost::asio::io_context io_;
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -44,12 +44,10 @@
         std::unique_ptr<Block> block_;
     };
 
-    /// Leases a block. Returns an empty lease if all blocks are in use.
-    Lease take() {
-        if (free_.empty()) {
-            if (leased_ >= capacity_) return {};
-            free_.push_back(std::make_unique<Block>());
-        }
+    /// Leases a block. Returns an empty lease if not more than `leave` blocks are unused.
+    Lease take(std::size_t leave = 0) {
+        if (leased_ + leave >= capacity_) return {};
+        if (free_.empty()) free_.push_back(std::make_unique<Block>());
         auto block = std::move(free_.back());
         free_.pop_back();
         ++leased_;
@@ -57,6 +55,8 @@
     }
     /// Number of blocks in use.
     std::size_t leasedCount() const { return leased_; }
+    /// Maximum number of blocks in use.
+    std::size_t capacity() const { return capacity_; }
 
 private:
     void release(std::unique_ptr<Block> block) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -22,11 +22,11 @@
 } // namespace
 
 Listener::Listener(asio::io_context& io, const asio::ip::tcp::endpoint& address, std::size_t maxPeers,
-                   std::size_t maxQueuedBytes, Counters& counters, BufferPool& lineBlocks,
-                   BufferPool& pushBlocks, ProtocolFactory makePeer)
+                   std::size_t maxQueuedBytes, Counters& counters, BufferPool& pushBlocks,
+                   ProtocolFactory makePeer)
     : acceptor_(io, address, true), acceptTimer_(io), joinTimer_(io), maxPeers_(maxPeers),
       maxQueuedBytes_(maxQueuedBytes), counters_(counters), pushBlocks_(pushBlocks),
-      makePeer_(std::move(makePeer)), readBuffer_(lineBlocks.take()) {}
+      makePeer_(std::move(makePeer)) {}
 
 void Listener::start() {
     spawn(accept());
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -27,11 +27,10 @@
     /// Creates the protocol of a new connection.
     using ProtocolFactory = std::function<std::unique_ptr<PeerProtocol>(Connection&)>;
 
-    /// `maxQueuedBytes`: limit of the write queue of one connection. `lineBlocks` provides the buffer that
-    /// all connections read into, `pushBlocks` the blocks of their write queues. Throws
-    /// boost::system::system_error if it cannot listen at the address.
+    /// `maxQueuedBytes`: limit of the write queue of one connection. `pushBlocks` provides the blocks of the
+    /// write queues. Throws boost::system::system_error if it cannot listen at the address.
     Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t maxPeers,
-             std::size_t maxQueuedBytes, Counters& counters, BufferPool& lineBlocks, BufferPool& pushBlocks,
+             std::size_t maxQueuedBytes, Counters& counters, BufferPool& pushBlocks,
              ProtocolFactory makePeer);
 
     /// Starts accepting connections. Must be called once.
@@ -65,7 +64,8 @@
     Counters& counters_;
     BufferPool& pushBlocks_;
     const ProtocolFactory makePeer_;
-    const BufferPool::Lease readBuffer_;
+    BufferPool readPool_{1}; // not shared, so that reading never lacks a buffer
+    const BufferPool::Lease readBuffer_ = readPool_.take();
     std::list<std::shared_ptr<Connection>> peers_;
     std::deque<UnidentifiedPeer> unidentified_; // oldest first; may include peers that have joined or left
     bool stopped_ = false;
--- a/src/net/resource_budget.cpp
+++ b/src/net/resource_budget.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "net/buffer_pool.h"
+#include "net/line_framer.h"
 
 namespace zincstack::net {
 
@@ -18,8 +19,9 @@
 constexpr std::size_t kBaseBytes = 16 * kMegabyte; // the program, its tables and its logger
 constexpr std::size_t kMinBufferBytes = 4 * kMegabyte;
 constexpr std::size_t kMaxBufferBytes = 64 * kMegabyte;
-/// Received lines get 1/kLineBlockDivisor of the blocks, since they are short compared with pushed tables.
+/// Long lines get 1/kLineBlockDivisor of the blocks, since they are short compared with pushed tables.
 constexpr std::size_t kLineBlockDivisor = 4;
+constexpr std::size_t kMinPushBlocks = 64; // one peer's write queue
 /// A discovery list may take 1/kListDivisor of the memory: the tree parsed from it is many times its size.
 constexpr std::size_t kListDivisor = 32;
 
@@ -47,7 +49,10 @@
     const std::size_t memory = memoryMegabytes * kMegabyte;
     const std::size_t blocks = bufferBytes(memory) / kBlockBytes;
     budget.lineBlocks = blocks / kLineBlockDivisor;
-    budget.pushBlocks = blocks - budget.lineBlocks;
+    budget.responseBlocks = budget.probes + 1;
+    const std::size_t ownBufferBlocks = budget.peers * kOwnBufferBytes / kBlockBytes + 1;
+    const std::size_t reserved = budget.lineBlocks + budget.responseBlocks + ownBufferBlocks;
+    budget.pushBlocks = std::max(blocks - std::min(reserved, blocks), kMinPushBlocks);
     budget.listBytes = std::max(memory / kListDivisor, kMegabyte);
     return budget;
 }
--- a/src/platform/peer_session.cpp
+++ b/src/platform/peer_session.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Bounds the memory used for a peer that has not identified itself. Enough for `agent` and `hello`.
-constexpr std::size_t kMaxUnidentifiedLineBytes = 1024;
+/// A peer that has not identified itself gets no block of the pool. Enough for `agent` and `hello`.
+constexpr std::size_t kMaxUnidentifiedLineBytes = kOwnBufferBytes;
+/// Collectors leave 1/kProxyBlockDivisor of the pool to proxies.
+constexpr std::size_t kProxyBlockDivisor = 4;
 
 /// The message kinds of the protocol, in the order of PeerSession::Input. The kinds after `demand` are not
 /// valid as input on this connection; all of them map to Input::OtherMessage.
@@ -41,7 +43,7 @@
 PeerSession::PeerSession(InputTranslator& inputs, Counters& counters, BufferPool& pool, PushStream& stream,
                          std::function<void()> answerProbe)
     : inputs_(inputs), counters_(counters), stream_(stream), answerProbe_(std::move(answerProbe)),
-      framer_(pool) {}
+      pool_(pool), framer_(pool) {}
 
 bool PeerSession::feed(std::string_view bytes) {
     counters_.add(Counter::BytesIn, bytes.size());
@@ -107,7 +109,9 @@
     switch (action) {
     case Action::None: return true;
     case Action::AnswerProbe: answerProbe_(); return true;
-    case Action::IdentifyCollector: return inputs_.handleAgent(message);
+    case Action::IdentifyCollector:
+        framer_.leaveBlocks(pool_.capacity() / kProxyBlockDivisor);
+        return inputs_.handleAgent(message);
     case Action::JoinProxy: proxy_ = inputs_.handleHello(message, stream_); return proxy_.has_value();
     case Action::AcknowledgeBarrier: inputs_.handleAck(message, *proxy_, stream_); return true;
     case Action::ReportLoad: inputs_.handleOutcomes(message); return true;
--- a/src/platform/peer_session.h
+++ b/src/platform/peer_session.h
@@ -85,6 +85,7 @@
     Counters& counters_;
     PushStream& stream_;
     std::function<void()> answerProbe_;
+    BufferPool& pool_;
     LineFramer framer_;
     State state_ = State::Unidentified;
     std::optional<ProxyId> proxy_;
--- a/src/pubsub/pubsub_service.cpp
+++ b/src/pubsub/pubsub_service.cpp
@@ -40,7 +40,7 @@
         return makeSubscriberSession(*server_, connection);
     };
     return std::make_shared<net::Listener>(io_, *address, listenConfig.maxSubscribers, kMaxQueuedBytes,
-                                           counters_, bufferPool_, bufferPool_, makeSession);
+                                           counters_, bufferPool_, makeSession);
 }
 
 void PubsubService::stopListening() {
--- a/tests/peer_session_test.cpp
+++ b/tests/peer_session_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,50 @@
     }
 }
 
+/// Regression (docs/incidents/2026-12-half-messages.md): peers that sent half a message and waited used up the
+/// buffers, and the next peer whose message came in two pieces was closed, even a joined proxy.
+TEST_F(PeerSessionTest, HalfMessagesOfUnidentifiedPeersDoNotCloseOtherPeers) {
+    CapturingStream stream;
+    const auto proxySession = openProxySession(stream);
+    const auto collectorSession = openSession(stream);
+    EXPECT_TRUE(collectorSession->feed("agent zone=a\r\n"));
+    std::vector<std::unique_ptr<PeerSession>> strangers;
+    while (strangers.size() < 2 * pool.capacity()) {
+        strangers.push_back(openSession(stream));
+        EXPECT_TRUE(strangers.back()->feed("hello proxy=1"));
+    }
+    EXPECT_TRUE(proxySession->feed("demand proxy=17 class=order tries=2 fai"));
+    EXPECT_TRUE(proxySession->feed("led=0 span_ms=1\r\n"));
+    EXPECT_EQ(planner.received.back(), "demand 1 2");
+    EXPECT_TRUE(collectorSession->feed("demand proxy=4 class=order tries=3 failed=0 "));
+    EXPECT_TRUE(collectorSession->feed("span_ms=1\r\n"));
+    EXPECT_EQ(planner.received.back(), "demand 1 3");
+    const auto lateSession = openSession(stream);
+    EXPECT_TRUE(lateSession->feed("hello proxy=5 zone=a wei"));
+    EXPECT_TRUE(lateSession->feed("ght=1 fresh=1\r\n"));
+    EXPECT_EQ(planner.received.back(), "joined 5 zone 0 fresh");
+    for (const auto& session : {proxySession.get(), lateSession.get()}) session->connectionClosed();
+}
+
+/// Regression (docs/incidents/2026-12-half-messages.md): collectors with long incomplete messages could use up
+/// the buffers too.
+TEST_F(PeerSessionTest, LongHalfMessagesOfCollectorsLeaveBuffersToProxies) {
+    CapturingStream stream;
+    const auto proxySession = openProxySession(stream);
+    const std::string longHalf = "outcomes zone=a server=" + std::string(60'000, 's');
+    std::vector<std::unique_ptr<PeerSession>> collectors;
+    for (int k = 0; k < 10; ++k) {
+        collectors.push_back(openSession(stream));
+        EXPECT_TRUE(collectors.back()->feed("agent zone=a\r\n"));
+        collectors.back()->feed(longHalf);
+    }
+    EXPECT_TRUE(proxySession->feed("demand proxy=17 class=order tries=2 failed=0 span_ms=1 x="));
+    EXPECT_TRUE(proxySession->feed(std::string(2 * kBlockBytes, 'x')));
+    EXPECT_TRUE(proxySession->feed("\r\n"));
+    EXPECT_EQ(planner.received.back(), "demand 1 2");
+    proxySession->connectionClosed();
+}
+
 RC_GTEST_FIXTURE_PROP(PeerSessionTest, AcceptsArbitraryInputInArbitraryPieces, ()) {
     const auto words =
         *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(std::vector<std::string>{
