--- a/bench/whole_table_transport.h
+++ b/bench/whole_table_transport.h
@@ -77,8 +77,8 @@
             transport.routingState_.proxyJoined(*proxy, {0}, transport);
             transport.openBatch_().proxyJoined(*proxy, {0}, 1, true);
         }
-        bool joinDeadlineExpired() override { return true; }
-        bool isUnidentified() const override { return false; }
+        bool joinDeadlineExpired(bool /*isFull*/) override { return true; }
+        bool isProvisional() const override { return false; }
         void connectionClosed() override {
             transport.sessions_.erase(*proxy);
             transport.routingState_.proxyLeft(*proxy, transport);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -62,9 +62,9 @@
 
 /// Reads once before closing: after a stall of this process, the bytes that identify the peer may have
 /// arrived but not been read yet.
-void Connection::expireJoinDeadline() {
-    if (!feedAvailable(1) || !peer_->joinDeadlineExpired())
-        closeWithMessage("peer did not identify itself before the join deadline");
+void Connection::expireJoinDeadline(bool isFull) {
+    if (!feedAvailable(1) || !peer_->joinDeadlineExpired(isFull))
+        closeWithMessage("the peer's connection was not needed at the join deadline");
 }
 
 /// The peer may not be reading, so the closing message is written only as far as the socket accepts it
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -32,8 +32,9 @@
 
     /// Reads from the peer until the connection ends, then calls `onClosed`.
     void start(std::unique_ptr<PeerProtocol> peer, std::function<void()> onClosed);
-    /// Closes the connection at the join deadline, unless bytes that have already arrived identify the peer.
-    void expireJoinDeadline();
+    /// Closes the connection at the join deadline, unless the protocol keeps it. Takes in bytes that have
+    /// already arrived before. See PeerProtocol::joinDeadlineExpired.
+    void expireJoinDeadline(bool isFull);
     const PeerProtocol& peer() const { return *peer_; }
 
     /// Queues all of the bytes. Returns false and queues nothing if the queue is over its limit or the pool
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -53,31 +53,34 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-/// Closes peers that do not identify themselves in time. Otherwise peers that send nothing, half a message or
-/// only a health check would occupy their connections forever. The time limit is shorter while the listener
-/// is full.
+/// Closes peers that do not show in time that they are needed. Otherwise peers that send nothing, half a
+/// message or only a health check would occupy their connections forever. The time limit is shorter while the
+/// listener is full.
 asio::awaitable<void> Listener::enforceJoinDeadlines() {
     while (!stopped_) {
-        if (unidentified_.empty()) {
+        if (provisional_.empty()) {
             co_await sleepUntil(joinTimer_, Clock::time_point::max());
             continue;
         }
         const auto timeout = full() ? kJoinTimeoutIfFull : kJoinTimeout;
-        const auto deadline = unidentified_.front().acceptedAt + timeout;
-        if (resolveOldestUnidentified(deadline))
-            unidentified_.pop_front();
-        else
-            co_await sleepUntil(joinTimer_, deadline);
+        const auto deadline = provisional_.front().checkedAt + timeout;
+        if (!checkOldestProvisional(deadline)) co_await sleepUntil(joinTimer_, deadline);
     }
 }
 
-/// Returns whether the oldest entry of `unidentified_` can be removed, after closing the peer if its deadline
-/// has passed. A separate function, so that the coroutine does not keep the connection alive while it waits.
-bool Listener::resolveOldestUnidentified(Clock::time_point deadline) {
-    const auto connection = unidentified_.front().connection.lock();
-    if (!connection || !connection->peer().isUnidentified()) return true;
-    if (Clock::now() < deadline) return false;
-    connection->expireJoinDeadline();
+/// Removes the oldest entry of `provisional_` if its deadline has passed or the peer is not provisional any
+/// more. A peer that is still provisional after its deadline is checked again later. Returns false if the
+/// deadline has not passed yet. A separate function, so that the coroutine does not keep the connection alive
+/// while it waits.
+bool Listener::checkOldestProvisional(Clock::time_point deadline) {
+    const auto now = Clock::now();
+    const auto connection = provisional_.front().connection.lock();
+    const bool isProvisional = connection && connection->peer().isProvisional();
+    if (isProvisional && now < deadline) return false;
+    provisional_.pop_front();
+    if (!isProvisional) return true;
+    connection->expireJoinDeadline(full());
+    if (connection->peer().isProvisional()) provisional_.push_back({now, connection});
     return true;
 }
 
@@ -107,8 +110,8 @@
     const auto connection =
         std::make_shared<Connection>(std::move(socket), counters_, pushBlocks_, readBuffer_, maxQueuedBytes_);
     const auto position = peers_.insert(peers_.end(), connection);
-    if (unidentified_.empty()) joinTimer_.cancel(); // it was waiting without a deadline
-    unidentified_.push_back({Clock::now(), connection});
+    if (provisional_.empty()) joinTimer_.cancel(); // it was waiting without a deadline
+    provisional_.push_back({Clock::now(), connection});
     connection->start(makePeer_(*connection), [this, self = shared_from_this(), position] {
         peers_.erase(position);
         acceptTimer_.cancel();
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -19,8 +19,8 @@
 
 namespace zincstack::net {
 
-/// Owns the listening socket and the open connections. Peers that have identified themselves are never closed
-/// in favor of new ones: while the listener is full, new connections wait in the backlog of the operating
+/// Owns the listening socket and the open connections. Peers that have shown that they are needed are never
+/// closed in favor of new ones: while the listener is full, new connections wait in the backlog of the operating
 /// system.
 class Listener : public std::enable_shared_from_this<Listener> {
 public:
@@ -43,14 +43,14 @@
 
 private:
     using Clock = std::chrono::steady_clock;
-    struct UnidentifiedPeer {
-        Clock::time_point acceptedAt;
+    struct ProvisionalPeer {
+        Clock::time_point checkedAt; // when it was accepted, or its last deadline
         std::weak_ptr<Connection> connection;
     };
 
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> enforceJoinDeadlines();
-    bool resolveOldestUnidentified(Clock::time_point deadline);
+    bool checkOldestProvisional(Clock::time_point deadline);
     boost::asio::awaitable<void> sleepUntil(boost::asio::steady_timer& timer, Clock::time_point until);
     void spawn(boost::asio::awaitable<void> work);
     void addPeer(boost::asio::ip::tcp::socket socket);
@@ -67,7 +67,8 @@
     BufferPool readPool_{1}; // not shared, so that reading never lacks a buffer
     const BufferPool::Lease readBuffer_ = readPool_.take();
     std::list<std::shared_ptr<Connection>> peers_;
-    std::deque<UnidentifiedPeer> unidentified_; // oldest first; may include peers that have joined or left
+    std::deque<ProvisionalPeer>
+        provisional_; // oldest check first; may include peers that have joined or left
     bool stopped_ = false;
 };
 
--- a/src/net/peer_protocol.h
+++ b/src/net/peer_protocol.h
@@ -13,11 +13,11 @@
     /// Processes received bytes. Returns false if the connection is to be closed; `feed` is not called again
     /// then.
     virtual bool feed(std::string_view bytes) = 0;
-    /// Called at the join deadline. Returns false if the peer has not identified itself and the connection is
-    /// to be closed.
-    virtual bool joinDeadlineExpired() = 0;
-    /// Whether the peer has not yet identified itself.
-    virtual bool isUnidentified() const = 0;
+    /// Called at the join deadline, and again at regular intervals while the peer is provisional.
+    /// `isFull`: new connections are waiting for room. Returns false if the connection is to be closed.
+    virtual bool joinDeadlineExpired(bool isFull) = 0;
+    /// Whether the peer still has to show that its connection is needed, for instance by identifying itself.
+    virtual bool isProvisional() const = 0;
     /// Called when everything that was queued for the peer has been written.
     virtual void writeQueueDrained() {}
     /// Called when the connection has been closed.
--- a/src/platform/input_translator.cpp
+++ b/src/platform/input_translator.cpp
@@ -117,14 +117,16 @@
     return ProxyId{static_cast<std::uint16_t>(*proxy)};
 }
 
-bool InputTranslator::handleAgent(const Message& message) {
-    const auto zone = message.find("zone");
-    if (!zone || !names_.zone(*zone)) {
+std::optional<ZoneId> InputTranslator::handleAgent(const Message& message, PushStream& stream) {
+    const auto name = message.find("zone");
+    const auto zone = name ? names_.zone(*name) : std::nullopt;
+    if (!zone) {
         counters_.recordIgnored(Counter::BadName, "agent: field 'zone' is missing or names an unknown zone");
-        return false;
+        return {};
     }
     counters_.add(Counter::Agents);
-    return true;
+    collectors_.joined(*zone, stream);
+    return zone;
 }
 
 std::optional<ProxyId> InputTranslator::handleHello(const Message& message, PushStream& stream) {
@@ -175,43 +177,48 @@
     batches_.openBatch().barrierAcknowledged(proxy, barrier);
 }
 
-void InputTranslator::handleOutcomes(const Message& message) {
+/// Always returns false.
+bool InputTranslator::ignore(Counter counter, std::string_view detail) {
+    counters_.recordIgnored(counter, detail);
+    return false;
+}
+
+bool InputTranslator::handleOutcomes(const Message& message) {
     const auto fields = readOutcomes(message);
-    if (!fields) return counters_.recordIgnored(Counter::BadField, "outcomes: missing or invalid field");
+    if (!fields) return ignore(Counter::BadField, "outcomes: missing or invalid field");
     const auto zone = names_.zone(fields->zone);
     const auto endpoint = names_.endpoint(fields->endpoint);
     if (!zone || !endpoint)
-        return counters_.recordIgnored(Counter::BadName, "outcomes: unknown zone '" +
-                                                             std::string(fields->zone) + "' or endpoint '" +
-                                                             std::string(fields->endpoint) + "'");
+        return ignore(Counter::BadName, "outcomes: unknown zone '" + std::string(fields->zone) +
+                                            "' or endpoint '" + std::string(fields->endpoint) + "'");
     EndpointLoadReport report{
         *endpoint,        *zone, fields->attempts.total, fields->attempts.failed, fields->meanLatency,
         fields->interval, {}};
     if (const auto text = message.find("load")) {
         const auto load = parseLoadReport(*text, ':');
         if (!load)
-            return counters_.recordIgnored(Counter::BadField,
-                                           "outcomes: invalid load report '" + std::string(*text) + "'");
+            return ignore(Counter::BadField, "outcomes: invalid load report '" + std::string(*text) + "'");
         report.load = *load;
     }
     counters_.add(Counter::Outcomes);
     batches_.openBatch().reportLoad(report);
+    return true;
 }
 
-void InputTranslator::handleDemand(const Message& message, std::optional<ProxyId> sender) {
+bool InputTranslator::handleDemand(const Message& message, std::optional<ProxyId> sender) {
     const auto proxy = readProxy(message);
     const auto fields = readDemand(message);
     const bool namesAnotherProxy = sender && proxy && *sender != *proxy;
     if (!proxy || namesAnotherProxy || !fields)
-        return counters_.recordIgnored(Counter::BadField,
-                                       "demand: missing or invalid field, or not this stream's proxy");
+        return ignore(Counter::BadField, "demand: missing or invalid field, or not this stream's proxy");
     const auto requestClass = names_.requestClass(fields->requestClass);
     if (!requestClass)
-        return counters_.recordIgnored(Counter::BadName, "demand: unknown request class '" +
-                                                             std::string(fields->requestClass) + "'");
+        return ignore(Counter::BadName,
+                      "demand: unknown request class '" + std::string(fields->requestClass) + "'");
     counters_.add(Counter::Demands);
     batches_.openBatch().reportDemand(
         {*proxy, *requestClass, fields->requests.total, fields->requests.failed, fields->interval});
+    return true;
 }
 
 bool InputTranslator::updateEndpoints(EndpointListUpdate kind, const json::Value& members) {
--- a/src/platform/peer_session.cpp
+++ b/src/platform/peer_session.cpp
@@ -13,6 +13,11 @@
 constexpr std::size_t kMaxUnidentifiedLineBytes = kOwnBufferBytes;
 /// Collectors leave 1/kProxyBlockDivisor of the pool to proxies.
 constexpr std::size_t kProxyBlockDivisor = 4;
+/// Those that have not reported anything leave 1/kReporterBlockDivisor.
+constexpr std::size_t kReporterBlockDivisor = 2;
+/// Deadlines after which a collector that has not reported anything must be among the needed ones of its zone,
+/// unless connections are scarce. A collector reports about once a second.
+constexpr int kDeadlinesUntilNeeded = 2;
 
 /// The message kinds of the protocol, in the order of PeerSession::Input. The kinds after `demand` are not
 /// valid as input on this connection; all of them map to Input::OtherMessage.
@@ -28,11 +33,14 @@
 /// The first entry that matches the state and the input applies.
 const PeerSession::Transition PeerSession::kTransitions[] = {
     {State::Any, Input::Probe, State::Any, Action::AnswerProbe},
-    {State::Unidentified, Input::Agent, State::Collector, Action::IdentifyCollector},
+    {State::Unidentified, Input::Agent, State::SilentCollector, Action::IdentifyCollector},
     {State::Unidentified, Input::Hello, State::ProxyStream, Action::JoinProxy},
     {State::Unidentified, Input::Any, State::Rejected, Action::Reject},
     {State::Any, Input::JoinDeadline, State::Any, Action::None},
+    {State::Any, Input::NotNeeded, State::Closed, Action::Reject},
     {State::Any, Input::Unreadable, State::Closed, Action::Close},
+    {State::SilentCollector, Input::Outcomes, State::Any, Action::ReportLoad},
+    {State::SilentCollector, Input::Demand, State::Any, Action::ReportDemand},
     {State::Collector, Input::Outcomes, State::Collector, Action::ReportLoad},
     {State::Collector, Input::Demand, State::Collector, Action::ReportDemand},
     {State::ProxyStream, Input::Demand, State::ProxyStream, Action::ReportDemand},
@@ -68,17 +76,37 @@
     return false;
 }
 
-bool PeerSession::joinDeadlineExpired() {
-    return handle(Input::JoinDeadline, {}, "peer did not identify itself in time");
+bool PeerSession::joinDeadlineExpired(bool isFull) {
+    if (isUnidentified()) return handle(Input::JoinDeadline, {}, "peer did not identify itself in time");
+    if (state_ != State::SilentCollector) return isOpen();
+    if (isStuckInMessage())
+        return handle(Input::NotNeeded, {}, "collector did not complete its first report");
+    if (!isNeededCollector(isFull)) return handle(Input::NotNeeded, {}, "collector without reports");
+    return true;
+}
+
+/// Whether the line that is incomplete now was already incomplete at the previous deadline.
+bool PeerSession::isStuckInMessage() {
+    const bool isIncomplete = !framer_.unfinishedLine().empty();
+    return std::exchange(wasIncompleteAtDeadline_, isIncomplete) && isIncomplete;
+}
+
+bool PeerSession::isNeededCollector(bool isFull) {
+    ++deadlinesPassed_;
+    if (deadlinesPassed_ < kDeadlinesUntilNeeded && !isFull) return true;
+    return inputs_.collectors().isNeeded(*collectorZone_, stream_);
 }
 
 void PeerSession::connectionClosed() {
     if (proxy_) inputs_.streamClosed(*proxy_, stream_);
     proxy_.reset();
+    if (collectorZone_) inputs_.collectors().left(*collectorZone_, stream_);
+    collectorZone_.reset();
 }
 
 bool PeerSession::handleLine(std::string_view line) {
     counters_.add(Counter::LinesIn);
+    wasIncompleteAtDeadline_ = false;
     const auto message = parseMessage(line);
     const auto* const kind =
         message ? std::ranges::find(kMessageKinds, message->kind) : std::end(kMessageKinds);
@@ -104,18 +132,32 @@
     return isOpen();
 }
 
+/// Called after each valid report of a collector or a proxy.
+void PeerSession::recordReport() {
+    if (!collectorZone_) return;
+    inputs_.collectors().reported(*collectorZone_, stream_);
+    if (state_ != State::SilentCollector) return;
+    state_ = State::Collector;
+    framer_.leaveBlocks(pool_.capacity() / kProxyBlockDivisor);
+}
+
 /// Returns false if an `agent` or `hello` is invalid. Other invalid messages are only counted and ignored.
 bool PeerSession::perform(Action action, const Message& message, std::string_view text) {
     switch (action) {
     case Action::None: return true;
     case Action::AnswerProbe: answerProbe_(); return true;
     case Action::IdentifyCollector:
-        framer_.leaveBlocks(pool_.capacity() / kProxyBlockDivisor);
-        return inputs_.handleAgent(message);
+        framer_.leaveBlocks(pool_.capacity() / kReporterBlockDivisor);
+        collectorZone_ = inputs_.handleAgent(message, stream_);
+        return collectorZone_.has_value();
     case Action::JoinProxy: proxy_ = inputs_.handleHello(message, stream_); return proxy_.has_value();
     case Action::AcknowledgeBarrier: inputs_.handleAck(message, *proxy_, stream_); return true;
-    case Action::ReportLoad: inputs_.handleOutcomes(message); return true;
-    case Action::ReportDemand: inputs_.handleDemand(message, proxy_); return true;
+    case Action::ReportLoad:
+        if (inputs_.handleOutcomes(message)) recordReport();
+        return true;
+    case Action::ReportDemand:
+        if (inputs_.handleDemand(message, proxy_)) recordReport();
+        return true;
     case Action::IgnoreMessage: counters_.recordIgnored(Counter::OutOfPlace, text); return true;
     case Action::Reject: counters_.recordIgnored(Counter::RefusedStranger, text); return true;
     case Action::Close: counters_.recordIgnored(Counter::Unreadable, text); return true;
--- a/src/platform/push_stream.h
+++ b/src/platform/push_stream.h
@@ -1,11 +1,11 @@
-// The interface through which UpdateQueue writes push messages to a proxy.
+// The interface through which push messages are written to a peer, and by which its connection is closed.
 #pragma once
 
 #include <string_view>
 
 namespace zincstack::net {
 
-/// The sending side of a proxy's connection.
+/// The sending side of the connection of a proxy or collector. Nothing is pushed to a collector.
 class PushStream {
 public:
     virtual ~PushStream() = default;
@@ -14,7 +14,7 @@
     virtual bool push(std::string_view bytes) = 0;
     /// Whether everything that was queued has been written.
     virtual bool idle() const = 0;
-    /// Called when the proxy has opened a newer stream, which ends this one.
+    /// Called when newer connections have taken this one's place, which ends it.
     virtual void onReplaced() = 0;
 };
 
--- a/src/platform/session_acceptor.cpp
+++ b/src/platform/session_acceptor.cpp
@@ -17,8 +17,8 @@
         : connection_(connection), session_(inputs, counters, lineBuffers, *this, std::move(answerProbe)) {}
 
     bool feed(std::string_view bytes) override { return session_.feed(bytes); }
-    bool joinDeadlineExpired() override { return session_.joinDeadlineExpired(); }
-    bool isUnidentified() const override { return session_.isUnidentified(); }
+    bool joinDeadlineExpired(bool isFull) override { return session_.joinDeadlineExpired(isFull); }
+    bool isProvisional() const override { return session_.isProvisional(); }
     void connectionClosed() override { session_.connectionClosed(); }
     std::string_view closingMessage() const override {
         return session_.isRejected() ? "error reason=refused\r\n" : std::string_view{};
--- a/src/pubsub/subscriber_session.cpp
+++ b/src/pubsub/subscriber_session.cpp
@@ -19,13 +19,13 @@
         if (fault) server_.protocolError(*subscriber_, *fault);
         return subscriber_->state() != SessionState::Leaving;
     }
-    bool joinDeadlineExpired() override {
+    bool joinDeadlineExpired(bool /*isFull*/) override {
         if (!subscriber_) return false;
-        if (!isUnidentified()) return true;
+        if (!isProvisional()) return true;
         server_.protocolError(*subscriber_, "no greeting within its time");
         return false;
     }
-    bool isUnidentified() const override {
+    bool isProvisional() const override {
         return subscriber_ && subscriber_->state() == SessionState::Greeting;
     }
     void connectionClosed() override {
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -70,5 +70,23 @@
     EXPECT_EQ(peers[3].available(), 0U);
 }
 
+/// Regression (docs/incidents/2026-12-half-messages.md): collectors that sent half a report and waited filled
+/// the listener for good, so that no proxy was accepted.
+TEST_F(ListenerTest, AdmitsAProxyWhenCollectorsWithHalfAReportFillTheListener) {
+    using boost::asio::ip::tcp;
+    const auto listener = listen(6);
+    std::vector<tcp::socket> peers;
+    for (int k = 0; k < 12; ++k) {
+        peers.emplace_back(io).connect(listener->address());
+        boost::asio::write(peers.back(), boost::asio::buffer("agent zone=a\r\noutcomes zone=a ser"sv));
+    }
+    peers.emplace_back(io).connect(listener->address());
+    boost::asio::write(peers.back(), boost::asio::buffer("hello proxy=17 zone=b weight=1 fresh=1\r\n"sv));
+    while (planner.received.empty() && io.run_one_for(10s)) {}
+    EXPECT_EQ(planner.received, std::vector<std::string>{"joined 17 zone 1 fresh"});
+    while (counters.of(Counter::Closed) < 12 && io.run_one_for(10s)) {}
+    EXPECT_EQ(listener->peers(), 1U);
+}
+
 } // namespace
 } // namespace zincstack::net
--- a/tests/peer_session_test.cpp
+++ b/tests/peer_session_test.cpp
@@ -119,6 +119,89 @@
     proxySession->connectionClosed();
 }
 
+struct CollectorSessionTest : PeerSessionTest {
+    struct Collector {
+        CapturingStream stream;
+        std::unique_ptr<PeerSession> session;
+    };
+    std::vector<std::unique_ptr<Collector>> collectors;
+
+    ~CollectorSessionTest() override {
+        for (const auto& collector : collectors) collector->session->connectionClosed();
+    }
+    Collector& connectCollector() {
+        Collector& collector = *collectors.emplace_back(std::make_unique<Collector>());
+        collector.session = openSession(collector.stream);
+        EXPECT_TRUE(collector.session->feed("agent zone=a\r\n"));
+        return collector;
+    }
+    static void report(Collector& collector) {
+        EXPECT_TRUE(collector.session->feed("demand proxy=4 class=order tries=3 failed=0 span_ms=1\r\n"));
+        EXPECT_FALSE(collector.session->isProvisional());
+    }
+};
+
+/// Regression (docs/incidents/2026-12-half-messages.md): peers that joined as collectors of an existing zone and
+/// sent half a report were never closed.
+TEST_F(CollectorSessionTest, HalfAFirstReportEndsTheConnectionAtTheSecondDeadline) {
+    Collector& collector = connectCollector();
+    EXPECT_TRUE(collector.session->feed("outcomes zone=a server=s-1 tri"));
+    EXPECT_TRUE(collector.session->joinDeadlineExpired(false));
+    EXPECT_TRUE(collector.session->isProvisional());
+    EXPECT_FALSE(collector.session->joinDeadlineExpired(false));
+    EXPECT_FALSE(collector.session->isRejected()); // nothing is written to a collector
+    EXPECT_EQ(counters.of(Counter::RefusedStranger), 1U);
+}
+
+TEST_F(CollectorSessionTest, AFirstReportThatArrivesInPiecesAroundADeadlineIsHeard) {
+    Collector& collector = connectCollector();
+    EXPECT_TRUE(collector.session->feed("demand proxy=4 class=order tri"));
+    EXPECT_TRUE(collector.session->joinDeadlineExpired(false));
+    EXPECT_TRUE(collector.session->feed("es=x failed=0 span_ms=1\r\ndemand proxy=4 "));
+    EXPECT_TRUE(collector.session->isProvisional()); // the report is invalid
+    EXPECT_TRUE(collector.session->joinDeadlineExpired(false));
+    EXPECT_TRUE(collector.session->feed("class=order tries=3 failed=0 span_ms=1\r\n"));
+    EXPECT_FALSE(collector.session->isProvisional());
+    EXPECT_EQ(planner.received, std::vector<std::string>{"demand 1 3"});
+}
+
+/// Regression (docs/incidents/2026-12-half-messages.md): a zone could have any number of collectors. The one that
+/// reports and the newest, which may be the real one after a restart, must stay.
+TEST_F(CollectorSessionTest, CollectorsWithoutReportsStayOnlyIfTheyAreTheNewestOfTheirZone) {
+    Collector& real = connectCollector();
+    report(real);
+    for (int k = 0; k < 10; ++k) connectCollector();
+    for (const auto& collector : collectors) EXPECT_TRUE(collector->session->joinDeadlineExpired(false));
+    int open = 0;
+    for (const auto& collector : collectors)
+        if (collector->session->joinDeadlineExpired(false)) ++open;
+    EXPECT_EQ(open, 1 + CollectorRegistry::kNeededPerZone);
+    EXPECT_TRUE(collectors.back()->session->joinDeadlineExpired(false));
+    report(real);
+    Collector& restarted = connectCollector();
+    Collector& stranger = connectCollector();
+    connectCollector();
+    EXPECT_FALSE(restarted.session->joinDeadlineExpired(true)); // connections are scarce
+    EXPECT_TRUE(stranger.session->joinDeadlineExpired(true));
+    report(stranger);
+    EXPECT_TRUE(stranger.session->joinDeadlineExpired(true));
+}
+
+TEST_F(CollectorSessionTest, AZoneKeepsTheCollectorsThatReportedLast) {
+    Collector& first = connectCollector();
+    Collector& second = connectCollector();
+    Collector& third = connectCollector();
+    report(second);
+    report(first);
+    EXPECT_FALSE(second.stream.wasReplaced);
+    report(third);
+    EXPECT_TRUE(second.stream.wasReplaced);
+    EXPECT_FALSE(first.stream.wasReplaced);
+    first.session->connectionClosed();
+    report(connectCollector());
+    EXPECT_FALSE(third.stream.wasReplaced);
+}
+
 RC_GTEST_FIXTURE_PROP(PeerSessionTest, AcceptsArbitraryInputInArbitraryPieces, ()) {
     const auto words =
         *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(std::vector<std::string>{
--- a/tests/pubsub_service_test.cpp
+++ b/tests/pubsub_service_test.cpp
@@ -260,14 +260,14 @@
 
 /// A pending write can keep a connection alive after its subscriber was destroyed, and the listener still
 /// calls its session.
-TEST_F(PubsubServiceTest, ClosedSessionIsNotUnidentifiedAndAcceptsNoInput) {
+TEST_F(PubsubServiceTest, ClosedSessionIsNotProvisionalAndAcceptsNoInput) {
     const auto block = bufferPool.take();
     net::Connection connection(asio::ip::tcp::socket(io), counters, bufferPool, block, 1024);
     const auto session = pubsub::makeSubscriberSession(*server, connection);
-    EXPECT_TRUE(session->isUnidentified());
+    EXPECT_TRUE(session->isProvisional());
     session->connectionClosed();
-    EXPECT_FALSE(session->isUnidentified());
-    EXPECT_FALSE(session->joinDeadlineExpired());
+    EXPECT_FALSE(session->isProvisional());
+    EXPECT_FALSE(session->joinDeadlineExpired(false));
     EXPECT_FALSE(session->feed("x"));
     session->connectionClosed();
     EXPECT_EQ(server->subscriberCount(), 0U);
