Let only small messages into a queue whose acknowledgements are all overdue

Cause: from reading again. A channel that is only slow looks like one whose acknowledgements are lost; there an ordinary message of any size could have taken the room that messages with a deadline need (ChannelCredit::check).

Change: such a message takes at most the reserve, a twentieth of the queue, each time. Comments of acknowledged() and check() follow the code.

--- a/src/planner/channel_credit.cpp
+++ b/src/planner/channel_credit.cpp
@@ -36,10 +36,13 @@
     const double fraction = urgency == Urgency::Deadline ? kDeadlineQueueFraction : kOrdinaryQueueFraction;
     const double linesAfter = unacknowledgedLines_ + otherTransportLines + lines;
     if (linesAfter <= fraction * limits_.maxQueuedLines) return Admission::Granted;
-    // The queue may be full of lines written to ended streams, or of lines whose acknowledgements are lost, and
-    // only the acknowledgement of a later message proves that they have left it. Therefore one message at a
-    // time may use the reserve, even a message that exceeds the fraction by itself.
-    const bool mayUseReserve = awaitedMessages_ == 0 || areAllAcknowledgementsOverdue(now);
+    // The queue may be full of lines written to ended streams, and only the acknowledgement of a later
+    // message proves that they have left it. Therefore one message at a time may use the reserve, even a
+    // message that exceeds the fraction by itself. The same holds for lines whose acknowledgements are lost,
+    // but a slow channel looks alike, so that only a small message may be written.
+    const double reserve = (1 - kDeadlineQueueFraction) * limits_.maxQueuedLines;
+    const bool mayUseReserve =
+        awaitedMessages_ == 0 || (lines <= reserve && areAllAcknowledgementsOverdue(now));
     return mayUseReserve && linesAfter <= limits_.maxQueuedLines ? Admission::Granted : Admission::QueueFull;
 }
 
--- a/src/planner/channel_credit.h
+++ b/src/planner/channel_credit.h
@@ -46,8 +46,8 @@
     };
     /// Whether a message of `lines` lines may be written to the proxy now. `otherTransportLines`: lines on
     /// the channels of other transports, which count against the same limit. While no acknowledgement is
-    /// awaited, or all that are awaited are overdue, one message may use the whole queue, including the
-    /// reserve.
+    /// awaited, one message may use the whole queue, including the reserve. So may a small one if all that are
+    /// awaited are overdue.
     Admission check(ProxyId proxy, double lines, Urgency urgency, double otherTransportLines,
                     Micros now) const;
 
@@ -61,10 +61,10 @@
     void sessionEnded(ProxyId proxy);
     /// Charges a message, closed by the barrier, that has been handed to the proxy's stream.
     void messageWritten(ProxyId proxy, BarrierId barrier, double lines, Micros now);
-    /// Returns the credit of the message, of all messages written to the proxy before it, and of streams that
-    /// had ended or were found silent before it was written. Messages written to the proxy before its stream
-    /// was found silent are excepted: their credit returns like that of ended streams. Returns false if the
-    /// proxy has no unacknowledged message with this barrier.
+    /// Returns the credit of the message, of all messages written to the proxy before it, and of the streams
+    /// that had ended and the messages that had been given up before it was written. Messages to the proxy
+    /// that have been given up are excepted: their credit returns like that of ended streams. Returns false if
+    /// the proxy has no unacknowledged message with this barrier.
     bool acknowledged(ProxyId proxy, BarrierId barrier);
     /// Records that something arrived from the proxy: it is alive, so a missing acknowledgement is lost rather
     /// than late. Returns no credit.
--- a/tests/channel_credit_test.cpp
+++ b/tests/channel_credit_test.cpp
@@ -61,11 +61,16 @@
     EXPECT_EQ(checkUrgent(credit, kFirst, 10, 3400ms), Admission::QueueFull);
     EXPECT_EQ(checkUrgent(credit, kFirst, 51, 3401ms), Admission::QueueFull); // never over the limit
     EXPECT_EQ(checkUrgent(credit, kFirst, 10, 3401ms), Admission::Granted);
+    EXPECT_EQ(credit.check(kFirst, 50, Urgency::Ordinary, 0, 3401ms), Admission::Granted);
     credit.messageWritten(kFirst, {2}, 10, 3401ms);
     EXPECT_EQ(checkUrgent(credit, kFirst, 10, 3402ms), Admission::QueueFull);
     EXPECT_EQ(credit.unacknowledgedLines(), 960);
     EXPECT_TRUE(credit.acknowledged(kFirst, {2}));
     EXPECT_EQ(credit.unacknowledgedLines(), 0);
+    // A channel that is only slow must keep room for messages with a deadline.
+    credit.messageWritten(kFirst, {3}, 500, 4s);
+    EXPECT_EQ(credit.check(kFirst, 51, Urgency::Ordinary, 0, 9s), Admission::QueueFull);
+    EXPECT_EQ(credit.check(kFirst, 50, Urgency::Ordinary, 0, 9s), Admission::Granted);
 }
 
 TEST(ChannelCredit, LinesOfAnEndedSessionCountUntilALaterMessageIsAcknowledged) {
