Review: silent clients keep out proxies whose hello comes in two pieces

Cause: while the listener is full, every peer has 0.1 s to identify itself, also a proxy that has begun its `hello`.

--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -69,6 +69,7 @@
     double periodS = 1;
     int standing = 6, outlierAfter = 5, updateCap = 0;
     std::string throttleBy = "rps";
+    int descriptors = 1024; // that the planner may hold
     // behaviour
     double reportsLateS = 0.8;                // of sums and of usage
     double redialMinS = 0.12, redialMaxS = 2.5; // after a broken stream
@@ -78,6 +79,7 @@
     double tryShare = 0.7; // a try is given up after this share of the deadline
     double waitingRoom = 12; // requests that wait at a server at most
     double answerS = 0.1;      // time to answer without waiting
+    double helloGapS = 0;      // above 0: a `hello` comes in two pieces, so far apart
 };
 
 class World;
@@ -129,6 +131,7 @@
     std::uint64_t stream = 0;
     bool isJoined = false, fresh = true, mayDial = true;
     double stallsUntil = 0; // it stands still
+    double notTakenSince = -1; // its first connection that the planner ended before its `hello` was complete
     double joinedAt = 0, lastMessageWrittenAt = -kLong, lastAppliedAt = 0;
     std::deque<double> messageTimes;
 };
@@ -321,7 +324,7 @@
         char seed[17];
         std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(random_()) << 20U | random_());
         const json config = {{"name", "n1"}, {"listen", listen}, {"discovery", discovery}, {"seed", seed},
-                             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+                             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", deployment_.descriptors}}},
                              {"known", known}, {"settings", settings()}};
         const std::string configPath = directory_ + "/config.json";
         std::ofstream(configPath) << config.dump(1);
@@ -352,6 +355,7 @@
         planner_ = -1;
     }
     pid_t planner() const { return planner_; }
+    const tcp::endpoint& plannerAddress() const { return listen_; }
     /// What each server ran, and the most that it was sent while cold, as a multiple of what it could do.
     void noteServers() {
         for (const auto& [id, one] : servers_) {
@@ -611,8 +615,24 @@
         proxy.socket->set_option(tcp::no_delay(true), error);
         std::ostringstream hello;
         hello << "hello proxy=" << proxy.number << " zone=" << proxy.zone << " weight=" << proxy.rate << " fresh=" << (proxy.fresh ? 1 : 0) << "\r\n";
-        asio::write(*proxy.socket, asio::buffer(hello.str()), error);
+        const std::string text = hello.str();
+        const std::size_t first = deployment_.helloGapS > 0 ? text.size() / 2 : text.size();
+        asio::write(*proxy.socket, asio::buffer(text.data(), first), error);
         if (error) co_return;
+        if (first < text.size()) {
+            const double begunAt = now();
+            co_await sleep(deployment_.helloGapS);
+            char byte = 0;
+            const bool isEnded = recv(proxy.socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+            if (!isEnded) asio::write(*proxy.socket, asio::buffer(text.data() + first, text.size() - first), error);
+            if (isEnded || error) {
+                note("proxy " + std::to_string(proxy.number) + " is not taken: its connection was ended before its hello was complete");
+                if (proxy.notTakenSince < 0) proxy.notTakenSince = begunAt;
+                proxy.socket->close(error);
+                co_return;
+            }
+        }
+        proxy.notTakenSince = -1;
         const std::uint64_t stream = ++proxy.stream;
         proxy.isJoined = true;
         proxy.joinedAt = now();
@@ -936,8 +956,12 @@
 
     void checkDrain(const Proxy& proxy, const Server& server) {
         const auto told = told_.find(server.id);
-        if (told == told_.end() || told->second.phase == "Ready" || !proxy.isJoined) return;
-        const double since = std::max({told->second.at, proxy.joinedAt, firstAnswerAt_ + 1});
+        if (told == told_.end() || told->second.phase == "Ready") return;
+        // "If the planner [...] does not take it, [...] for that proxy, time limits run on"
+        const bool isNotTaken = !proxy.isJoined && proxy.notTakenSince >= 0;
+        if (!proxy.isJoined && !isNotTaken) return;
+        const double begin = isNotTaken ? proxy.notTakenSince : proxy.joinedAt;
+        const double since = std::max({told->second.at, begin, firstAnswerAt_ + 1});
         if (now() - since <= worstSlowness * deployment_.drainGraceS + kSlackS) return;
         violation("safe drain", "proxy " + std::to_string(proxy.number) + " sends to " + server.id + " " +
                                     std::to_string(now() - since) + " s after " + told->second.phase + " was told");
