--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -159,8 +159,9 @@
         char directory[] = "/tmp/zincstack-review-XXXXXX";
         if (!mkdtemp(directory)) throw std::runtime_error("no temporary folder");
         directory_ = directory;
-        tcp::acceptor probe(io_, tcp::endpoint(address_, 0));
-        listen_ = probe.local_endpoint();
+        // Holds the planner's port until the planner starts, so that no stand-in takes it.
+        reservedPort_ = std::make_unique<tcp::acceptor>(io_, tcp::endpoint(address_, 0));
+        listen_ = reservedPort_->local_endpoint();
     }
     ~World() {
         endPlanner();
@@ -330,6 +331,7 @@
         std::ofstream(configPath) << config.dump(1);
         const std::string logPath = directory_ + "/planner.log";
         runCommand_ = runCommand;
+        reservedPort_.reset();
         planner_ = fork();
         if (planner_ == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with this process, whatever ends that
@@ -431,6 +433,7 @@
     awaitable<void> run(std::string runCommand, double seconds, std::function<awaitable<void>(World&)> disruptions) {
         for (auto& proxy : proxies_) giveStandingTable(*proxy);
         startPlanner(runCommand);
+        spawn(giveUpUnlessStarted(40));
         if (!co_await plannerAnswers(30)) {
             couldRun = false;
             io_.stop();
@@ -448,6 +451,14 @@
         io_.stop();
     }
 
+    awaitable<void> giveUpUnlessStarted(double within) {
+        co_await sleep(within);
+        if (firstAnswerAt_ < kLong) co_return;
+        note("the planner did not answer");
+        couldRun = false;
+        io_.stop();
+    }
+
     // ---- discovery ----------------------------------------------------------------------------------------
 
     json wholeList() const {
@@ -1011,6 +1022,7 @@
         std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
     tcp::acceptor discoveryAcceptor_;
     tcp::endpoint listen_;
+    std::unique_ptr<tcp::acceptor> reservedPort_;
     pid_t planner_ = -1;
     double firstAnswerAt_ = kLong;
     std::map<std::string, std::unique_ptr<Server>> servers_;
