--- a/src/planner/slow_start.cpp
+++ b/src/planner/slow_start.cpp
@@ -66,7 +66,7 @@
 
 void SlowStart::advanceEndpoint(EndpointIndex endpoint, const FleetConditions& fleet) {
     int& step = endpoints_.slowStartStep[endpoint];
-    const int lowestStep = fleet.hasWarmEndpoint ? 0 : 1; // without a warm endpoint, the others must serve
+    const int lowestStep = mayHaveNoWeight(endpoint, fleet) ? 0 : 1;
     step = std::max(step, lowestStep);
     if (canStepUp(endpoint, fleet)) {
         ++step;
@@ -75,6 +75,12 @@
     while (step > lowestStep && mustStepDown(endpoint, fleet)) --step;
 }
 
+/// Without a warm endpoint, those that are warming up must serve. A warm endpoint always has weight: it could
+/// not get any back, because it steps up only after an attempt has succeeded there.
+bool SlowStart::mayHaveNoWeight(EndpointIndex endpoint, const FleetConditions& fleet) const {
+    return fleet.hasWarmEndpoint && warmUpFraction(endpoint, fleet.now) < 1;
+}
+
 bool SlowStart::canStepUp(EndpointIndex endpoint, const FleetConditions& fleet) const {
     if (!fleet.mayStepUp || fleet.isOverloadOnset || fleet.now < endpoints_.holdUntil[endpoint]) return false;
     const double warmUp = warmUpFraction(endpoint, fleet.now);
--- a/src/planner/slow_start.h
+++ b/src/planner/slow_start.h
@@ -56,6 +56,7 @@
     };
     FleetConditions fleetConditions(const FleetLoad& load, double demand, bool mayStepUp, Micros now) const;
     void advanceEndpoint(EndpointIndex endpoint, const FleetConditions& fleet);
+    bool mayHaveNoWeight(EndpointIndex endpoint, const FleetConditions& fleet) const;
     bool canStepUp(EndpointIndex endpoint, const FleetConditions& fleet) const;
     bool mustStepDown(EndpointIndex endpoint, const FleetConditions& fleet) const;
     double safeRate(EndpointIndex endpoint, const FleetConditions& fleet) const;
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -46,5 +46,24 @@
     EXPECT_DOUBLE_EQ(weightOf(*model, 9), 0.2);
 }
 
+/// Guards against an endpoint that slow start has taken down to weight 0 and that gets none again once it is
+/// warm, because it would have to answer a request first (review/6): a zone that came back cold had no table.
+TEST(SlowStart, AnEndpointWithoutWeightGetsTheFirstStepOnceItIsWarm) {
+    const auto model = settledModel(3);
+    model->updateEndpoint(9, EndpointState::Ready, model->now);
+    model->advance(2s);
+    model->reportLoad(20, [](std::uint64_t id) { return id == 9 ? 1 : 0.5; });
+    model->advance(500ms);
+    ASSERT_EQ(weightOf(*model, 9), 0);
+    model->advance(model->safety.warmUpDuration);
+    EXPECT_DOUBLE_EQ(weightOf(*model, 9), 0.2);
+    // It may not belong to the fleet: no more before it has answered.
+    model->advance(4s);
+    EXPECT_DOUBLE_EQ(weightOf(*model, 9), 0.2);
+    advanceWithSuccessfulReports(*model, 8);
+    EXPECT_DOUBLE_EQ(weightOf(*model, 9), 1);
+    EXPECT_TRUE(model->violations.empty());
+}
+
 } // namespace
 } // namespace zincstack::tests
