--- a/src/planner/admission_control.cpp
+++ b/src/planner/admission_control.cpp
@@ -52,6 +52,9 @@
 /// channel.
 constexpr double kMinAdmissionChange = 0.02;
 
+/// The same for a table whose endpoints are warming up: its limit changes all the time.
+constexpr double kMinWarmUpLimitChange = 0.1;
+
 /// Rate limit of a proxy, in requests per second, that is too high to take effect.
 constexpr double kUnlimitedRate = 1e6;
 
@@ -89,9 +92,22 @@
     return total > 0 ? work / total : latencyObjective(0);
 }
 
-double AdmissionController::admittedDemand(const ProxyRegistry& proxies) const {
+AdmittedDemand AdmissionController::admittedDemand(const ProxyRegistry& proxies) const {
+    AdmittedDemand demand;
     const std::vector<double> rates = demandByClass(proxies, requestClasses_.size());
-    return std::inner_product(rates.begin(), rates.end(), admittedFractions_.begin(), 0.0);
+    for (std::size_t requestClass = 0; requestClass < rates.size(); ++requestClass) {
+        if (requestClasses_[requestClass].zoneLocal) continue;
+        demand.anyZone += rates[requestClass] * admittedFractions_[requestClass];
+    }
+    if (std::ranges::none_of(requestClasses_, &RequestClassConfig::zoneLocal)) return demand;
+    for (const auto& [id, proxy] : proxies) {
+        double& zoneLocal = demand.zoneLocal[proxy.zone];
+        for (std::size_t requestClass = 0; requestClass < rates.size(); ++requestClass) {
+            if (!requestClasses_[requestClass].zoneLocal) continue;
+            zoneLocal += proxy.demand[requestClass] * admittedFractions_[requestClass];
+        }
+    }
+    return demand;
 }
 
 void AdmissionController::updateForOverload(const FleetPerformance& fleet, const ProxyRegistry& proxies) {
@@ -171,30 +187,62 @@
 
 void AdmissionController::issueAdmissionLimits(std::vector<PlannedTable>& tables,
                                                const ProxyRegistry& proxies, ControlChannel& channel) {
+    forEachLimit(tables, [&](PlannedTable& table, std::size_t requestClass, double lastIssued) {
+        const double limit = limitOf(table, requestClass, proxies);
+        const double minChange = table.warmUpFraction < 1 ? kMinWarmUpLimitChange : kMinAdmissionChange;
+        if (std::abs(limit - lastIssued) <= minChange * std::max(limit, lastIssued)) return;
+        issueLimit(table, requestClass, limit, channel);
+    });
+}
+
+void AdmissionController::issueLowerWarmUpLimits(std::vector<PlannedTable>& tables,
+                                                 const ProxyRegistry& proxies, ControlChannel& channel) {
+    forEachLimit(tables, [&](PlannedTable& table, std::size_t requestClass, double lastIssued) {
+        if (table.warmUpFraction >= 1) return;
+        const double limit = limitOf(table, requestClass, proxies);
+        const bool isTooHigh = lastIssued < 0 || limit < (1 - kMinWarmUpLimitChange) * lastIssued;
+        if (!isTooHigh || !channel.hasDeadlineCapacity(channel.broadcastLines())) return;
+        issueLimit(table, requestClass, limit, channel);
+    });
+}
+
+void AdmissionController::forEachLimit(std::vector<PlannedTable>& tables, const auto& issueLimit) const {
     for (PlannedTable& table : tables) {
         if (table.subsetOf && table.holderCount == 0) continue;
         for (std::size_t requestClass = 0; requestClass < requestClasses_.size(); ++requestClass) {
             if (!(table.requestClasses >> requestClass & 1U)) continue;
-            const double fraction = std::min(1.0, admittedFractions_[requestClass] * table.rateLimitFraction);
-            const double limit = limitFor(fraction, requestClass, proxies);
-            double& issued = table.admission.try_emplace(requestClass, kNeverIssued).first->second;
-            if (std::abs(limit - issued) <= kMinAdmissionChange * std::max(limit, issued)) continue;
-            sink_.setAdmission(table.id, static_cast<RequestClassSet>(1U << requestClass), limit,
-                               RetryPolicy::AfterProofOfNoEffect);
-            issued = limit;
-            channel.ledger.chargeTable(table, 1);
+            const auto issued = table.admission.find(requestClass);
+            issueLimit(table, requestClass, issued == table.admission.end() ? kNeverIssued : issued->second);
         }
     }
 }
 
-/// The limit that admits a fraction of a request class: the fraction itself, or with ThrottleMode::Rate the
-/// rate limit that, applied at every proxy, admits that fraction of all their requests.
-double AdmissionController::limitFor(double fraction, std::size_t requestClass,
-                                     const ProxyRegistry& proxies) const {
+void AdmissionController::issueLimit(PlannedTable& table, std::size_t requestClass, double limit,
+                                     ControlChannel& channel) {
+    sink_.setAdmission(table.id, static_cast<RequestClassSet>(1U << requestClass), limit,
+                       RetryPolicy::AfterProofOfNoEffect);
+    table.admission[requestClass] = limit;
+    channel.ledger.chargeTable(table, 1);
+}
+
+/// The limit that admits the table's fraction of a request class: the fraction itself, or with
+/// ThrottleMode::Rate the rate limit that admits it if each proxy applies it.
+double AdmissionController::limitOf(const PlannedTable& table, std::size_t requestClass,
+                                    const ProxyRegistry& proxies) const {
+    const double admitted = admittedFractions_[requestClass] * table.rateLimitFraction * table.warmUpFraction;
+    const double fraction = std::min(1.0, admitted);
     if (mode_ != ThrottleMode::Rate) return fraction;
-    if (fraction >= 1) return kUnlimitedRate;
+    // The endpoints that are warming up may be those of one zone, and only its proxies hold its table.
+    const bool isForOneZone = table.warmUpFraction < 1;
     std::vector<double> rates;
-    for (const auto& [id, proxy] : proxies) rates.push_back(proxy.demand[requestClass]);
+    for (const auto& [id, proxy] : proxies)
+        if (!isForOneZone || proxy.zone == table.zone) rates.push_back(proxy.demand[requestClass]);
+    return rateLimitFor(fraction, std::move(rates));
+}
+
+/// The rate limit that, applied to each of the rates, admits the fraction of their sum.
+double AdmissionController::rateLimitFor(double fraction, std::vector<double> rates) const {
+    if (fraction >= 1) return kUnlimitedRate;
     std::ranges::sort(rates);
     double remaining = fraction * std::accumulate(rates.begin(), rates.end(), 0.0);
     for (std::size_t count = 0; count < rates.size(); ++count) {
--- a/src/planner/admission_control.h
+++ b/src/planner/admission_control.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "planner/control_channel.h"
+#include "planner/fleet_load.h"
 #include "planner/planned_table.h"
 
 namespace zincstack {
@@ -36,8 +37,8 @@
     /// Mean latency objective of the requests that proxies receive, in seconds.
     double meanLatencyObjective(const ProxyRegistry& proxies) const;
 
-    /// Requests per second that are admitted.
-    double admittedDemand(const ProxyRegistry& proxies) const;
+    /// Requests per second that are admitted, without regard to limits during a warm-up.
+    AdmittedDemand admittedDemand(const ProxyRegistry& proxies) const;
 
     /// Starts, adjusts or stops load shedding; called once per report interval. Reports the start and the
     /// stop to the sink.
@@ -47,6 +48,11 @@
     void issueAdmissionLimits(std::vector<PlannedTable>& tables, const ProxyRegistry& proxies,
                               ControlChannel& channel);
 
+    /// Issues the limits of tables whose endpoints are warming up that are too high. To be called before any
+    /// update of weights in the batch, so that no proxy gets these endpoints without the limit.
+    void issueLowerWarmUpLimits(std::vector<PlannedTable>& tables, const ProxyRegistry& proxies,
+                                ControlChannel& channel);
+
 private:
     /// Load that proxies receive. Work is requests per second times their latency objective.
     struct OfferedLoad {
@@ -62,7 +68,12 @@
     void adjustCapacityFactor(double congestion);
     void reportChange(bool wasShedding, const FleetPerformance& fleet, const OfferedLoad& offered);
     void updateAdmittedFractions(const FleetPerformance& fleet, const OfferedLoad& offered);
-    double limitFor(double fraction, std::size_t requestClass, const ProxyRegistry& proxies) const;
+    double limitOf(const PlannedTable& table, std::size_t requestClass, const ProxyRegistry& proxies) const;
+    double rateLimitFor(double fraction, std::vector<double> rates) const;
+    /// Calls `issueLimit(table, requestClass, lastIssued)` for each request class of each table that may have a
+    /// holder. `lastIssued` is negative if no limit has been issued.
+    void forEachLimit(std::vector<PlannedTable>& tables, const auto& issueLimit) const;
+    void issueLimit(PlannedTable& table, std::size_t requestClass, double limit, ControlChannel& channel);
 
     RoutingUpdateSink& sink_;
     const ThrottleMode mode_;
--- a/src/planner/capacity_ledger.cpp
+++ b/src/planner/capacity_ledger.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Ratio of an endpoint's estimated capacity to its share of the demand. An estimate is needed because the
-/// capacities of endpoints are unknown, unlike those of the links in the paper.
-constexpr double kCapacityHeadroom = 1.2;
-
 /// Mean listed weight of the endpoints in service at which an attempt has succeeded; 0 if there are none.
 double meanListedWeightOfSuccessful(const EndpointRegistry& endpoints) {
     double weight = 0;
--- a/src/planner/capacity_ledger.h
+++ b/src/planner/capacity_ledger.h
@@ -7,6 +7,10 @@
 
 namespace zincstack {
 
+/// Ratio of an endpoint's estimated capacity to its share of the demand. An estimate is needed because the
+/// capacities of endpoints are unknown, unlike those of the links in the paper.
+inline constexpr double kCapacityHeadroom = 1.2;
+
 /// Tracks capacity and load per endpoint, in requests per second, during one step of the update scheduler.
 class CapacityLedger {
 public:
--- a/src/planner/health_monitor.h
+++ b/src/planner/health_monitor.h
@@ -16,9 +16,12 @@
 /// Forwards each call to the module in charge, where the contracts are documented.
 class HealthMonitor {
 public:
+    /// `canLimitAdmission`: proxies apply admission limits.
     HealthMonitor(EndpointRegistry& endpoints, RoutingUpdateSink& sink, const FleetConfig& fleet,
-                  const SafetyLimits& safetyLimits, Micros shortestLatencyObjective, std::mt19937 random)
-        : slowStart_(endpoints, safetyLimits), outliers_(endpoints, slowStart_, sink, fleet, safetyLimits),
+                  const SafetyLimits& safetyLimits, bool canLimitAdmission, Micros shortestLatencyObjective,
+                  std::mt19937 random)
+        : slowStart_(endpoints, safetyLimits, canLimitAdmission),
+          outliers_(endpoints, slowStart_, sink, fleet, safetyLimits),
           checks_(endpoints, outliers_, sink, fleet.probingAllowed, shortestLatencyObjective, random) {}
 
     ~HealthMonitor() = default;
@@ -34,8 +37,8 @@
     }
     void startDueProbes(Micros now) { checks_.startDueProbes(now); }
     void probeCompleted(const ProbeResult& result, Micros now) { checks_.probeCompleted(result, now); }
-    /// `demand`: admitted requests per second; `mayStepUp`: a new round may begin.
-    void advanceSlowStart(double demand, bool mayStepUp, Micros now) {
+    /// `mayStepUp`: a new round may begin.
+    void advanceSlowStart(const AdmittedDemand& demand, bool mayStepUp, Micros now) {
         slowStart_.advance(outliers_.fleetLoad(), demand, mayStepUp, now);
     }
     double warmUpFraction(EndpointIndex endpoint, Micros now) const {
--- a/src/planner/planned_table.h
+++ b/src/planner/planned_table.h
@@ -26,6 +26,8 @@
     bool inUse = false;
     /// Fraction of the table's demand that is admitted; below 1 only while a deadlocked update is resolved.
     double rateLimitFraction = 1;
+    /// Fraction of the table's demand that is admitted while nearly all of its endpoints are warming up.
+    double warmUpFraction = 1;
     /// For a subset table: index of its full table; std::nullopt for a full table.
     std::optional<EndpointIndex> subsetOf = {};
     /// For a subset table: number of proxies that hold it.
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -5,6 +5,7 @@
 //   health_monitor          ejects failing endpoints, reduces the weight of slow ones, readmits them, and
 //                           advances slow start
 //   admission_control       sheds load by priority while the whole fleet is overloaded
+//   warm_up_limits          limits what is admitted to tables whose endpoints are warming up
 //   control_channel         limits how much may be issued now
 //   urgent_updates          issues the updates that do not wait for a round
 //   table_assignment        assigns tables to proxies
@@ -24,6 +25,7 @@
 #include "planner/table_assignment.h"
 #include "planner/update_scheduler.h"
 #include "planner/urgent_updates.h"
+#include "planner/warm_up_limits.h"
 
 namespace zincstack {
 namespace {
@@ -42,18 +44,24 @@
     return std::ranges::min(requestClasses, {}, &RequestClassConfig::latencyObjective).latencyObjective;
 }
 
+bool canLimitAdmission(const ProxyFleetConfig& proxyFleet) {
+    return proxyFleet.throttleMode != ThrottleMode::None;
+}
+
 /// Connects the modules of the planner.
 class PlannerImpl final : public Planner {
 public:
     PlannerImpl(const PlannerConfig& config, RoutingUpdateSink& sink)
         : sink_(sink), sharded_(config.fleet.sharded), drainGracePeriod_(config.safety.drainGracePeriod),
           mustSubscribe_(config.fleet.mustSubscribeToEndpoints),
-          health_(endpoints_, sink, config.fleet, config.safety,
+          health_(endpoints_, sink, config.fleet, config.safety, canLimitAdmission(config.proxyFleet),
                   shortestLatencyObjective(config.requestClasses),
                   std::mt19937(static_cast<std::uint32_t>(config.seed))),
           channel_(proxies_, sink, config.channel),
           admission_(sink, config.proxyFleet.throttleMode, config.fleet.reportInterval,
                      config.requestClasses),
+          warmUpLimits_(endpoints_, health_, sink, config.safety, canLimitAdmission(config.proxyFleet),
+                        config.fleet.reportInterval),
           routing_(endpoints_, channel_, sink, config.proxyFleet.bootstrapTableSize),
           urgentUpdates_(endpoints_, health_, proxies_, channel_, routing_, sink),
           assignment_(endpoints_, health_, proxies_, channel_, routing_, sink,
@@ -67,7 +75,10 @@
     void updateEndpoints(EndpointListUpdate kind, std::span<const EndpointUpdate> entries) override;
     void proxyJoined(ProxyId id, ZoneId zone, double expectedRate, bool hasOnlyBootstrapTable) override;
     void proxyLeft(ProxyId id) override { channel_.ledger.proxyLeft(id); }
-    void reportLoad(const EndpointLoadReport& report) override { health_.reportLoad(report); }
+    void reportLoad(const EndpointLoadReport& report) override {
+        health_.reportLoad(report);
+        warmUpLimits_.reportLoad(report, now_);
+    }
     void reportDemand(const DemandReport& report) override;
     void barrierAcknowledged(ProxyId id, BarrierId barrier) override {
         channel_.ledger.acknowledged(id, barrier);
@@ -82,7 +93,7 @@
     void scheduleWakeUp();
     void subscribeToEndpoints();
     void evaluateReports();
-    void advanceSlowStart();
+    void advanceWarmUps();
     void issueOrdinaryUpdates();
     void closeBatch();
 
@@ -99,6 +110,7 @@
     HealthMonitor health_;
     ControlChannel channel_;
     AdmissionController admission_;
+    WarmUpLimits warmUpLimits_;
     RoutingTables routing_;
     UrgentUpdates urgentUpdates_;
     TableAssignment assignment_;
@@ -142,7 +154,7 @@
     health_.startDueProbes(now_);
     if (!channel_.mayWriteBatch(now_)) return;
 
-    advanceSlowStart();
+    advanceWarmUps();
     channel_.ledger.expire(now_);
     routing_.beginBatch(proxies_, now_);
     const bool channelIsIdle = channel_.spareLines(kIdleBudget) > 0;
@@ -150,6 +162,7 @@
     // A sink that measures the channel defers by itself the updates that do not fit.
     const bool mayIssue = joinBudget > 0 || channel_.isMetered();
 
+    if (mayIssue) admission_.issueLowerWarmUpLimits(routing_.tables, proxies_, channel_);
     if (mayIssue) urgentUpdates_.issueUrgentUpdates(channelIsIdle, now_);
     // In a depleted zone, proxies run out of usable endpoints in their inherited tables. They are then
     // assigned full tables even if urgent updates keep the channel from being idle.
@@ -172,6 +185,7 @@
 /// Updates the endpoints' health from the load reports, and the admission limits from the resulting
 /// congestion.
 void PlannerImpl::evaluateReports() {
+    warmUpLimits_.evaluateReports(now_);
     const auto congestion = health_.evaluateReports(admission_.meanLatencyObjective(proxies_), now_);
     if (!congestion) return;
     admission_.updateForOverload({.congestion = *congestion,
@@ -181,8 +195,11 @@
                                  proxies_);
 }
 
-void PlannerImpl::advanceSlowStart() {
-    health_.advanceSlowStart(admission_.admittedDemand(proxies_), scheduler_.mayChangeTargets(now_), now_);
+/// Limits what is admitted to tables whose endpoints are warming up, and moves endpoints through slow start.
+void PlannerImpl::advanceWarmUps() {
+    const AdmittedDemand demand =
+        warmUpLimits_.update(routing_.tables, admission_.admittedDemand(proxies_), now_);
+    health_.advanceSlowStart(demand, scheduler_.mayChangeTargets(now_), now_);
 }
 
 /// Issues the updates that can wait until the channel is idle, in order of precedence: the operations of the
--- a/src/planner/planner_event.cpp
+++ b/src/planner/planner_event.cpp
@@ -29,6 +29,8 @@
     std::string_view operator()(const LoadSheddingStarted&) const { return "load_shedding_started"; }
     std::string_view operator()(const LoadSheddingStopped&) const { return "load_shedding_stopped"; }
     std::string_view operator()(const UpdateDeadlock&) const { return "update_deadlock"; }
+    std::string_view operator()(const WarmUpLimitStarted&) const { return "warm_up_limit_started"; }
+    std::string_view operator()(const WarmUpLimitStopped&) const { return "warm_up_limit_stopped"; }
 };
 
 struct EventFields {
@@ -40,6 +42,13 @@
         return field("table", std::to_string(event.table.value)) +
                field("rate_limit_fraction", std::to_string(event.rateLimitFraction));
     }
+    std::string operator()(const WarmUpLimitStarted& event) const {
+        return field("table", std::to_string(event.table.value)) +
+               field("admitted_fraction", std::to_string(event.admittedFraction));
+    }
+    std::string operator()(const WarmUpLimitStopped& event) const {
+        return field("table", std::to_string(event.table.value));
+    }
 };
 
 } // namespace
--- a/src/planner/planner_event.h
+++ b/src/planner/planner_event.h
@@ -1,4 +1,5 @@
-// Typed events that the planner reports to the operator: ejections, load shedding and update deadlocks.
+// Typed events that the planner reports to the operator: ejections, load shedding, update deadlocks
+// and limits during a warm-up.
 //
 // Events are informational: no routing update depends on them. The sink decides how to log an event.
 #pragma once
@@ -56,8 +57,22 @@
     friend bool operator==(const UpdateDeadlock&, const UpdateDeadlock&) = default;
 };
 
-using PlannerEvent = std::variant<EndpointEjected, EndpointReadmitted, LoadSheddingStarted,
-                                  LoadSheddingStopped, UpdateDeadlock>;
+/// Nearly all endpoints of a table are warming up, and its demand exceeds what they can serve.
+struct WarmUpLimitStarted {
+    TableId table;
+    double admittedFraction = 1; ///< of the table's demand, at the start
+    friend bool operator==(const WarmUpLimitStarted&, const WarmUpLimitStarted&) = default;
+};
+
+/// The endpoints of a table can serve its demand again.
+struct WarmUpLimitStopped {
+    TableId table;
+    friend bool operator==(const WarmUpLimitStopped&, const WarmUpLimitStopped&) = default;
+};
+
+using PlannerEvent =
+    std::variant<EndpointEjected, EndpointReadmitted, LoadSheddingStarted, LoadSheddingStopped,
+                 UpdateDeadlock, WarmUpLimitStarted, WarmUpLimitStopped>;
 
 /// Name of the event in logs, for example `endpoint_ejected`.
 std::string_view eventName(const PlannerEvent& event);
--- a/src/planner/slow_start.cpp
+++ b/src/planner/slow_start.cpp
@@ -14,9 +14,6 @@
 /// wait a whole round, which is shorter than a warm-up, for a step that is nearly due.
 constexpr double kWarmUpLeadFactor = 1.25;
 
-/// Fraction of the overload factor up to which an endpoint may be loaded while it warms up.
-constexpr double kSafeOverloadFraction = 0.75;
-
 /// Hysteresis: an endpoint steps down only if its rate exceeds this multiple of the rate up to which it may
 /// step up.
 constexpr double kStepDownFactor = 1.5;
@@ -36,7 +33,7 @@
     return safety_.coldCapacityFraction + (1 - safety_.coldCapacityFraction) * std::clamp(age, 0.0, 1.0);
 }
 
-void SlowStart::advance(const FleetLoad& load, double demand, bool mayStepUp, Micros now) {
+void SlowStart::advance(const FleetLoad& load, const AdmittedDemand& demand, bool mayStepUp, Micros now) {
     const FleetConditions fleet = fleetConditions(load, demand, mayStepUp, now);
     for (EndpointIndex endpoint = 0; endpoint < endpoints_.size(); ++endpoint) {
         const bool isAtFullWeight = endpoints_.slowStartStep[endpoint] == kSlowStartSteps;
@@ -44,22 +41,29 @@
     }
 }
 
-SlowStart::FleetConditions SlowStart::fleetConditions(const FleetLoad& load, double demand, bool mayStepUp,
-                                                      Micros now) const {
-    FleetConditions fleet{.load = load,
-                          .demand = demand,
-                          .totalTargetWeight = totalTargetWeight(endpoints_),
-                          .totalListedWeight = 0,
-                          .mayStepUp = mayStepUp,
-                          .isOverloadOnset = load.overload > kOverloadOnsetThreshold &&
-                                             now - load.lastBelowOnsetAt < kOverloadOnsetDuration,
-                          .hasWarmEndpoint = false,
-                          .now = now};
+SlowStart::FleetConditions SlowStart::fleetConditions(const FleetLoad& load, const AdmittedDemand& demand,
+                                                      bool mayStepUp, Micros now) const {
+    FleetConditions fleet{
+        .load = load,
+        .allEndpoints = {.demand = demand.anyZone, .targetWeight = totalTargetWeight(endpoints_)},
+        .byZone = {},
+        .totalListedWeight = 0,
+        .mayStepUp = mayStepUp,
+        .isOverloadOnset =
+            load.overload > kOverloadOnsetThreshold && now - load.lastBelowOnsetAt < kOverloadOnsetDuration,
+        .now = now};
+    for (const auto& [zone, rate] : demand.zoneLocal) fleet.byZone[zone].demand = rate;
     for (EndpointIndex endpoint = 0; endpoint < endpoints_.size(); ++endpoint) {
         if (!endpoints_.isInService(endpoint)) continue;
         fleet.totalListedWeight += endpoints_.listedWeight[endpoint];
-        fleet.hasWarmEndpoint |= targetWeight(endpoints_, endpoint) > 0 &&
-                                 warmUpFraction(endpoint, now) >= 1 && !endpoints_.excluded[endpoint];
+        const double weight = targetWeight(endpoints_, endpoint);
+        const bool servesWarm =
+            weight > 0 && warmUpFraction(endpoint, now) >= 1 && !endpoints_.excluded[endpoint];
+        fleet.allEndpoints.hasWarmEndpoint |= servesWarm;
+        const auto zone = fleet.byZone.find(endpoints_.zone[endpoint]);
+        if (zone == fleet.byZone.end()) continue;
+        zone->second.targetWeight += weight;
+        zone->second.hasWarmEndpoint |= servesWarm;
     }
     return fleet;
 }
@@ -75,10 +79,14 @@
     while (step > lowestStep && mustStepDown(endpoint, fleet)) --step;
 }
 
-/// Without a warm endpoint, those that are warming up must serve. A warm endpoint always has weight: it could
-/// not get any back, because it steps up only after an attempt has succeeded there.
+/// Without a warm endpoint, those that are warming up must serve; in a zone with demand for zone-local request
+/// classes, provided that admission can be limited to what they can serve. A warm endpoint always has weight:
+/// it could not get any back, because it steps up only after an attempt has succeeded there.
 bool SlowStart::mayHaveNoWeight(EndpointIndex endpoint, const FleetConditions& fleet) const {
-    return fleet.hasWarmEndpoint && warmUpFraction(endpoint, fleet.now) < 1;
+    if (!fleet.allEndpoints.hasWarmEndpoint || warmUpFraction(endpoint, fleet.now) >= 1) return false;
+    const auto zone = fleet.byZone.find(endpoints_.zone[endpoint]);
+    const bool isNeededInZone = zone != fleet.byZone.end() && !zone->second.hasWarmEndpoint;
+    return !isNeededInZone || !canLimitAdmission_;
 }
 
 bool SlowStart::canStepUp(EndpointIndex endpoint, const FleetConditions& fleet) const {
@@ -106,16 +114,22 @@
 /// attempts that succeed in the fleet, scaled by its warm-up fraction, the allowed overload and the fleet's
 /// overload.
 double SlowStart::safeRate(EndpointIndex endpoint, const FleetConditions& fleet) const {
-    return kSafeOverloadFraction * safety_.overloadFactor * warmUpFraction(endpoint, fleet.now) *
-           (1 - fleet.load.overload) * fleet.load.successRate * endpoints_.listedWeight[endpoint] /
-           fleet.totalListedWeight;
+    return safeOverload(safety_) * warmUpFraction(endpoint, fleet.now) * (1 - fleet.load.overload) *
+           fleet.load.successRate * endpoints_.listedWeight[endpoint] / fleet.totalListedWeight;
 }
 
 /// Requests per second that the endpoint would get at `step`.
 double SlowStart::expectedRate(EndpointIndex endpoint, int step, const FleetConditions& fleet) const {
+    const double fromAnyZone = expectedRateFrom(fleet.allEndpoints, endpoint, step);
+    const auto zone = fleet.byZone.find(endpoints_.zone[endpoint]);
+    if (zone == fleet.byZone.end()) return fromAnyZone;
+    return fromAnyZone + expectedRateFrom(zone->second, endpoint, step);
+}
+
+double SlowStart::expectedRateFrom(const EndpointPool& pool, EndpointIndex endpoint, int step) const {
     const double weight = endpoints_.listedWeight[endpoint] * step / kSlowStartSteps;
-    const double total = fleet.totalTargetWeight - targetWeight(endpoints_, endpoint) + weight;
-    return fleet.demand * weight / std::max(total, weight);
+    const double total = pool.targetWeight - targetWeight(endpoints_, endpoint) + weight;
+    return pool.demand * weight / std::max(total, weight);
 }
 
 } // namespace zincstack
--- a/src/planner/slow_start.h
+++ b/src/planner/slow_start.h
@@ -4,6 +4,8 @@
 // OutlierDetector); `SlowStart::advance` moves it up and down.
 #pragma once
 
+#include <map>
+
 #include "planner/endpoint_registry.h"
 #include "planner/fleet_load.h"
 
@@ -15,6 +17,13 @@
 /// Minimum time that a reduced weight is kept, and then between the steps of its recovery.
 inline constexpr Micros kMinReducedTime = std::chrono::seconds(60);
 
+/// Factor by which the load of an endpoint may exceed its capacity without endangering it: a part of the factor
+/// at which it fails.
+inline double safeOverload(const SafetyLimits& safety) {
+    constexpr double kSafeOverloadFraction = 0.75;
+    return kSafeOverloadFraction * safety.overloadFactor;
+}
+
 /// The weight that an endpoint should have now: the fraction of its listed weight that its slow-start step
 /// allows, or 0 if it is out of service.
 inline double targetWeight(const EndpointRegistry& endpoints, EndpointIndex endpoint) {
@@ -30,40 +39,50 @@
 /// Moves endpoints through slow start. Has no state; changes `slowStartStep` and `holdUntil` in the registry.
 class SlowStart {
 public:
-    SlowStart(EndpointRegistry& endpoints, const SafetyLimits& safety)
-        : endpoints_(endpoints), safety_(safety) {}
+    /// `canLimitAdmission`: proxies apply admission limits, so a table may name only endpoints that are warming
+    /// up.
+    SlowStart(EndpointRegistry& endpoints, const SafetyLimits& safety, bool canLimitAdmission)
+        : endpoints_(endpoints), safety_(safety), canLimitAdmission_(canLimitAdmission) {}
 
     /// Fraction of its full capacity that an endpoint has at its age: 1 if it is warm. An endpoint without a
     /// start time counts as warm.
     double warmUpFraction(EndpointIndex endpoint, Micros now) const;
 
     /// Moves endpoints up by a step, no faster than the slowest warm-up allows, and down if an endpoint that
-    /// is warming up would get more requests than it can serve. `demand`: admitted requests per second;
-    /// `mayStepUp`: a new round may begin.
-    void advance(const FleetLoad& load, double demand, bool mayStepUp, Micros now);
+    /// is warming up would get more requests than it can serve. `mayStepUp`: a new round may begin.
+    void advance(const FleetLoad& load, const AdmittedDemand& demand, bool mayStepUp, Micros now);
 
 private:
+    /// The endpoints that share the demand of some request classes: those of one zone, or all.
+    struct EndpointPool {
+        double demand = 0;       ///< requests per second
+        double targetWeight = 0; ///< sum over its endpoints
+        bool hasWarmEndpoint =
+            false; ///< a warm endpoint gets requests, so one that is warming up may get none
+    };
     /// Fleet-wide inputs of one call of `advance`, the same for all endpoints.
     struct FleetConditions {
         const FleetLoad& load;
-        double demand;
-        double totalTargetWeight;
+        EndpointPool allEndpoints;             ///< serves the request classes that are not zone-local
+        std::map<ZoneId, EndpointPool> byZone; ///< of the zones with demand for zone-local request classes
         double totalListedWeight;
         bool mayStepUp;
         bool isOverloadOnset; ///< overload is so recent that reports cannot show the effect of limits yet
-        bool hasWarmEndpoint; ///< a warm endpoint gets requests, so one that is warming up may get none
         Micros now;
     };
-    FleetConditions fleetConditions(const FleetLoad& load, double demand, bool mayStepUp, Micros now) const;
+    FleetConditions fleetConditions(const FleetLoad& load, const AdmittedDemand& demand, bool mayStepUp,
+                                    Micros now) const;
     void advanceEndpoint(EndpointIndex endpoint, const FleetConditions& fleet);
     bool mayHaveNoWeight(EndpointIndex endpoint, const FleetConditions& fleet) const;
     bool canStepUp(EndpointIndex endpoint, const FleetConditions& fleet) const;
     bool mustStepDown(EndpointIndex endpoint, const FleetConditions& fleet) const;
     double safeRate(EndpointIndex endpoint, const FleetConditions& fleet) const;
     double expectedRate(EndpointIndex endpoint, int step, const FleetConditions& fleet) const;
+    double expectedRateFrom(const EndpointPool& pool, EndpointIndex endpoint, int step) const;
 
     EndpointRegistry& endpoints_;
     const SafetyLimits safety_;
+    const bool canLimitAdmission_;
 };
 
 } // namespace zincstack
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -23,6 +23,12 @@
     void operator()(const UpdateDeadlock& event) const {
         log::info(name, {{"table", event.table.value}, {"rate_limit_fraction", event.rateLimitFraction}});
     }
+    void operator()(const WarmUpLimitStarted& event) const {
+        log::info(name, {{"table", event.table.value}, {"admitted_fraction", event.admittedFraction}});
+    }
+    void operator()(const WarmUpLimitStopped& event) const {
+        log::info(name, {{"table", event.table.value}});
+    }
 
 private:
     void logEndpoint(const auto& event) const {
--- a/tests/planner_event_test.cpp
+++ b/tests/planner_event_test.cpp
@@ -21,6 +21,9 @@
     EXPECT_EQ(eventText(LoadSheddingStopped{10, 20, 0}),
               "load_shedding_stopped demand=10.000000 best_capacity=20.000000 overload=0.000000");
     EXPECT_EQ(eventText(UpdateDeadlock{{2}, 0.25}), "update_deadlock table=2 rate_limit_fraction=0.250000");
+    EXPECT_EQ(eventText(WarmUpLimitStarted{{2}, 0.25}),
+              "warm_up_limit_started table=2 admitted_fraction=0.250000");
+    EXPECT_EQ(eventText(WarmUpLimitStopped{{2}}), "warm_up_limit_stopped table=2");
 }
 
 TEST(PlannerEvent, IsLoggedWithTheNameOfItsEndpoint) {
@@ -32,10 +35,15 @@
     testing::internal::CaptureStderr();
     state.report(EndpointEjected{endpoint, 12, 9});
     state.report(UpdateDeadlock{{3}, 0.25});
+    state.report(WarmUpLimitStarted{{4}, 0.5});
+    state.report(WarmUpLimitStopped{{4}});
     const std::string written = testing::internal::GetCapturedStderr();
     EXPECT_NE(written.find("info endpoint_ejected endpoint=s-2 attempts="), std::string::npos) << written;
     EXPECT_NE(written.find("info update_deadlock table=3 rate_limit_fraction="), std::string::npos)
         << written;
+    EXPECT_NE(written.find("info warm_up_limit_started table=4 admitted_fraction="), std::string::npos)
+        << written;
+    EXPECT_NE(written.find("info warm_up_limit_stopped table=4"), std::string::npos) << written;
 }
 
 } // namespace
