--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -1,6 +1,5 @@
 #include "platform/message.h"
 
-#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -22,25 +21,24 @@
 }
 
 std::optional<Message> parseMessage(std::string_view line) {
-    Message message;
+    const std::string_view kind = takeToken(line, ' ');
+    if (kind.empty()) return {};
     bool valid = true;
-    forEachToken(line, ' ', [&](std::string_view word) {
-        const auto equals = word.find('=');
-        if (message.kind.empty())
-            message.kind = word;
-        else if (equals == std::string_view::npos || equals == 0)
-            valid = false;
-        else
-            message.fields.push_back({word.substr(0, equals), word.substr(equals + 1)});
+    forEachToken(line, ' ', [&](std::string_view field) {
+        const auto equals = field.find('=');
+        valid = valid && equals != std::string_view::npos && equals != 0;
     });
-    if (!valid || message.kind.empty()) return {};
-    return message;
+    if (!valid) return {};
+    return Message{kind, line};
 }
 
 std::optional<std::string_view> Message::find(std::string_view name) const {
-    const auto found = std::ranges::find(fields, name, &Field::name);
-    if (found == fields.end()) return {};
-    return found->value;
+    std::string_view rest = fields;
+    for (auto field = takeToken(rest, ' '); !field.empty(); field = takeToken(rest, ' ')) {
+        const auto equals = field.find('=');
+        if (field.substr(0, equals) == name) return field.substr(equals + 1);
+    }
+    return {};
 }
 
 std::optional<double> Message::number(std::string_view name) const {
--- a/src/platform/message.h
+++ b/src/platform/message.h
@@ -1,9 +1,12 @@
 // Parses the lines of the platform protocol: a message kind followed by fields of the form name=value.
+//
+// A message refers to its line and allocates nothing, so a line of very many fields costs no more memory than
+// its text.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
-#include <vector>
 
 #include "planner/planner.h"
 
@@ -12,13 +15,10 @@
 /// A parsed line. Its views refer to the line, which must outlive it. The typed accessors return std::nullopt
 /// if the field is missing or invalid.
 struct Message {
-    struct Field {
-        std::string_view name;
-        std::string_view value;
-    };
     std::string_view kind;
-    std::vector<Field> fields;
+    std::string_view fields; ///< the text of the fields, separated by spaces
 
+    /// The value of the first field with this name.
     std::optional<std::string_view> find(std::string_view name) const;
     /// A finite, non-negative number.
     std::optional<double> number(std::string_view name) const;
@@ -36,14 +36,20 @@
 /// Returns std::nullopt unless the complete text is one finite, non-negative number.
 std::optional<double> parseNumber(std::string_view text);
 
+/// Removes the first non-empty token from the text, with the separators around it, and returns it. Returns an
+/// empty view if there is none.
+inline std::string_view takeToken(std::string_view& text, char separator) {
+    text.remove_prefix(std::min(text.find_first_not_of(separator), text.size()));
+    const auto token = text.substr(0, text.find(separator));
+    text.remove_prefix(std::min(token.size() + 1, text.size()));
+    return token;
+}
+
 /// Splits the text at each `separator` and calls `handleToken` for each non-empty token.
 template <class Handler>
 void forEachToken(std::string_view text, char separator, const Handler& handleToken) {
-    while (!text.empty()) {
-        const auto end = text.find(separator);
-        if (const auto token = text.substr(0, end); !token.empty()) handleToken(token);
-        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
-    }
+    for (auto token = takeToken(text, separator); !token.empty(); token = takeToken(text, separator))
+        handleToken(token);
 }
 
 } // namespace zincstack::net
--- a/tests/message_test.cpp
+++ b/tests/message_test.cpp
@@ -1,7 +1,9 @@
 // Tests the parser of platform protocol messages.
 #include <gtest/gtest.h>
 
+#include <string>
 #include <string_view>
+#include <type_traits>
 
 #include "platform/message.h"
 
@@ -20,5 +22,32 @@
         EXPECT_FALSE(parseNumber(invalid)) << invalid;
 }
 
+/// Guards against memory that grows with the number of fields: one line of 1 MiB with very many short fields cost
+/// 17 MB, at a limit of 32 MB.
+TEST(MessageParser, OwnsNoMemory) {
+    static_assert(std::is_trivially_copyable_v<Message> && std::is_trivially_destructible_v<Message>);
+    std::string line = "demand";
+    while (line.size() < (std::size_t{1} << 20U) - 20) line += " a=";
+    line += " proxy=3  class=x ";
+    const auto message = parseMessage(line);
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->kind, "demand");
+    EXPECT_EQ(message->find("a"), "");
+    EXPECT_EQ(message->count("proxy", 9), 3U);
+    EXPECT_EQ(message->find("class"), "x");
+    EXPECT_FALSE(message->find("b"));
+    EXPECT_FALSE(parseMessage(line + "b"));
+}
+
+TEST(MessageParser, ReturnsTheFirstOfFieldsWithTheSameNameAndIgnoresRepeatedSpaces) {
+    const auto message = parseMessage("  hello   proxy=1 proxy=2 zone=a=b ");
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->kind, "hello");
+    EXPECT_EQ(message->find("proxy"), "1");
+    EXPECT_EQ(message->find("zone"), "a=b");
+    EXPECT_FALSE(message->find("prox"));
+    EXPECT_FALSE(parseMessage("   "));
+}
+
 } // namespace
 } // namespace zincstack::net
