--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -15,6 +15,9 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
+/// Connections accepted in one turn of the event loop. Busy peers make a turn long, and clients that connect all the
+/// time would otherwise fill the backlog faster than one connection a turn can empty it.
+constexpr int kMaxAcceptsPerTurn = 64;
 constexpr auto kAcceptRetryDelay = 50ms; // after a system error, usually a lack of file descriptors
 constexpr std::chrono::steady_clock::duration kJoinTimeout = 1s; // far more than a proxy or a collector needs
 constexpr std::chrono::steady_clock::duration kJoinTimeoutIfFull = 100ms; // while others may be waiting
@@ -85,6 +88,8 @@
 }
 
 asio::awaitable<void> Listener::accept() {
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
     while (!stopped_) {
         if (full()) {
             counters_.recordIgnored(Counter::RefusedFull,
@@ -93,16 +98,27 @@
             co_await sleepUntil(acceptTimer_, Clock::time_point::max());
             continue;
         }
-        boost::system::error_code error;
-        auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        co_await acceptor_.async_wait(asio::socket_base::wait_read,
+                                      asio::redirect_error(asio::use_awaitable, error));
         if (stopped_) co_return;
-        if (error) {
-            counters_.recordIgnored(Counter::RefusedFull, error.message());
-            co_await sleepUntil(acceptTimer_, Clock::now() + kAcceptRetryDelay);
-            continue;
-        }
+        if (!error) error = acceptWaiting();
+        if (!error) continue;
+        counters_.recordIgnored(Counter::RefusedFull, error.message());
+        co_await sleepUntil(acceptTimer_, Clock::now() + kAcceptRetryDelay);
+    }
+}
+
+/// Accepts connections from the backlog while there is room, at most kMaxAcceptsPerTurn. Returns an error only if
+/// the operating system reports one.
+boost::system::error_code Listener::acceptWaiting() {
+    boost::system::error_code error;
+    for (int count = 0; count < kMaxAcceptsPerTurn && !full(); ++count) {
+        auto socket = acceptor_.accept(error);
+        if (error == asio::error::would_block || error == asio::error::try_again) return {};
+        if (error) return error;
         addPeer(std::move(socket));
     }
+    return {};
 }
 
 void Listener::addPeer(asio::ip::tcp::socket socket) {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -49,6 +49,7 @@
     };
 
     boost::asio::awaitable<void> accept();
+    boost::system::error_code acceptWaiting();
     boost::asio::awaitable<void> enforceJoinDeadlines();
     bool checkOldestProvisional(Clock::time_point deadline);
     boost::asio::awaitable<void> sleepUntil(boost::asio::steady_timer& timer, Clock::time_point until);
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -88,5 +88,30 @@
     EXPECT_EQ(listener->peers(), 1U);
 }
 
+/// Regression (docs/incidents/2026-12-slow-accept.md): one connection was accepted in each turn of the event loop.
+/// While busy peers made the turns long, clients that connected all the time kept the backlog full.
+TEST_F(ListenerTest, AcceptsTheWaitingConnectionsInOneTurn) {
+    using boost::asio::ip::tcp;
+    constexpr std::size_t kWaiting = 20;
+    const auto listener = listen(kWaiting + 10);
+    std::vector<tcp::socket> peers;
+    for (std::size_t k = 0; k < kWaiting; ++k) peers.emplace_back(io).connect(listener->address());
+    while (counters.of(Counter::Accepted) == 0 && io.run_one_for(10s)) {}
+    // Not all: the operating system may show the last ones a little later.
+    EXPECT_GE(counters.of(Counter::Accepted), kWaiting / 2);
+}
+
+/// The number of connections stays within the limit, however many are waiting.
+TEST_F(ListenerTest, AcceptsNoMoreThanItHasRoomFor) {
+    using boost::asio::ip::tcp;
+    constexpr std::size_t kRoom = 5;
+    const auto listener = listen(kRoom);
+    std::vector<tcp::socket> peers;
+    for (std::size_t k = 0; k < 3 * kRoom; ++k) peers.emplace_back(io).connect(listener->address());
+    while (counters.of(Counter::Closed) < 2 * kRoom && io.run_one_for(10s))
+        EXPECT_LE(listener->peers(), kRoom);
+    EXPECT_GE(counters.of(Counter::Accepted), 2 * kRoom);
+}
+
 } // namespace
 } // namespace zincstack::net
