--- a/src/platform/input_translator.cpp
+++ b/src/platform/input_translator.cpp
@@ -143,6 +143,10 @@
             counters_.recordIgnored(Counter::BadField, "hello: missing or invalid field");
         return {};
     }
+    if (updates_.hasNewerSession(*proxy, stream)) {
+        counters_.recordIgnored(Counter::Stale, "hello: the proxy has joined on a newer connection");
+        return {};
+    }
     counters_.add(Counter::Hellos);
     if (updates_.sessionOpened(*proxy, *zone, stream)) counters_.add(Counter::Takeovers);
     batches_.openBatch().proxyJoined(*proxy, *zone, *weight, *fresh);
--- a/src/platform/push_stream.h
+++ b/src/platform/push_stream.h
@@ -1,6 +1,7 @@
 // The interface through which push messages are written to a peer, and by which its connection is closed.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
 
 namespace zincstack::net {
@@ -16,6 +17,8 @@
     virtual bool idle() const = 0;
     /// Called when newer connections have taken this one's place, which ends it.
     virtual void onReplaced() = 0;
+    /// Increases from connection to connection in the order in which they were accepted.
+    virtual std::uint64_t acceptOrder() const { return 0; }
 };
 
 } // namespace zincstack::net
--- a/src/platform/session_acceptor.cpp
+++ b/src/platform/session_acceptor.cpp
@@ -12,9 +12,10 @@
 /// Adapts a PeerSession to a Connection: received bytes go to the session, push messages to the connection.
 class ConnectedSession final : public PeerProtocol, PushStream {
 public:
-    ConnectedSession(Connection& connection, InputTranslator& inputs, Counters& counters,
-                     BufferPool& lineBuffers, std::function<void()> answerProbe)
-        : connection_(connection), session_(inputs, counters, lineBuffers, *this, std::move(answerProbe)) {}
+    ConnectedSession(Connection& connection, std::uint64_t acceptOrder, InputTranslator& inputs,
+                     Counters& counters, BufferPool& lineBuffers, std::function<void()> answerProbe)
+        : connection_(connection), acceptOrder_(acceptOrder),
+          session_(inputs, counters, lineBuffers, *this, std::move(answerProbe)) {}
 
     bool feed(std::string_view bytes) override { return session_.feed(bytes); }
     bool joinDeadlineExpired(bool isFull) override { return session_.joinDeadlineExpired(isFull); }
@@ -28,15 +29,17 @@
     bool push(std::string_view bytes) override { return connection_.push(bytes); }
     bool idle() const override { return connection_.idle(); }
     void onReplaced() override { connection_.close("replaced by a newer stream"); }
+    std::uint64_t acceptOrder() const override { return acceptOrder_; }
 
     Connection& connection_;
+    const std::uint64_t acceptOrder_;
     PeerSession session_;
 };
 
 } // namespace
 
 std::unique_ptr<PeerProtocol> SessionAcceptor::accept(Connection& connection) {
-    return std::make_unique<ConnectedSession>(connection, inputs_, counters_, lineBuffers_,
+    return std::make_unique<ConnectedSession>(connection, ++acceptedCount_, inputs_, counters_, lineBuffers_,
                                               [this, &connection] { answerProbe(connection); });
 }
 
--- a/src/platform/session_acceptor.h
+++ b/src/platform/session_acceptor.h
@@ -1,6 +1,7 @@
 // Creates a session of the platform protocol for each connection to the planner's listening address.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -34,6 +35,7 @@
     Counters& counters_;
     BufferPool& lineBuffers_;
     std::vector<std::weak_ptr<Connection>> unansweredProbes_;
+    std::uint64_t acceptedCount_ = 0;
     bool isServing_ = false;
 };
 
--- a/src/platform/update_queue.cpp
+++ b/src/platform/update_queue.cpp
@@ -19,6 +19,11 @@
 
 // ---- sessions ---------------------------------------------------------------------------------------------
 
+bool UpdateQueue::hasNewerSession(ProxyId proxy, const PushStream& stream) const {
+    const auto found = sessions_.find(proxy);
+    return found != sessions_.end() && found->second.stream->acceptOrder() > stream.acceptOrder();
+}
+
 bool UpdateQueue::sessionOpened(ProxyId proxy, ZoneId zone, PushStream& stream) {
     const bool hadSession = state_.proxyJoined(proxy, zone, *this);
     sessions_.erase(proxy);
--- a/src/platform/update_queue.h
+++ b/src/platform/update_queue.h
@@ -25,6 +25,8 @@
     UpdateQueue(const UpdateQueue&) = delete;
     UpdateQueue& operator=(const UpdateQueue&) = delete;
 
+    /// Whether the proxy's session is on a connection that was accepted later than this one.
+    bool hasNewerSession(ProxyId proxy, const PushStream& stream) const;
     /// Makes the stream the proxy's session and replaces any earlier one. Returns whether there was one.
     bool sessionOpened(ProxyId proxy, ZoneId zone, PushStream& stream);
     /// Ends the proxy's session. Returns false, without effect, if the stream is not the proxy's session.
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -113,5 +113,33 @@
     EXPECT_GE(counters.of(Counter::Accepted), 2 * kRoom);
 }
 
+/// Regression (docs/incidents/2026-12-late-hello.md): a `hello` that was read after the same proxy had joined on a
+/// newer connection ended that stream, although nobody was left on the older one.
+TEST_F(ListenerTest, IgnoresAHelloOnAnOlderConnectionThanTheProxysStream) {
+    using boost::asio::ip::tcp;
+    constexpr auto kHello = "hello proxy=17 zone=b weight=1 fresh=1\r\n"sv;
+    const auto listener = listen(9);
+    tcp::socket older(io);
+    tcp::socket newer(io);
+    older.connect(listener->address());
+    boost::asio::write(older, boost::asio::buffer(kHello.substr(0, 9)));
+    while (counters.of(Counter::Accepted) < 1 && io.run_one_for(10s)) {}
+    newer.connect(listener->address());
+    boost::asio::write(newer, boost::asio::buffer(kHello));
+    while (planner.received.empty() && io.run_one_for(10s)) {}
+    boost::asio::write(older, boost::asio::buffer(kHello.substr(9)));
+    older.close();
+    while (counters.of(Counter::Closed) < 1 && io.run_one_for(10s)) {}
+    EXPECT_EQ(planner.received, std::vector<std::string>{"joined 17 zone 1 fresh"});
+    EXPECT_EQ(counters.of(Counter::Stale), 1U);
+    EXPECT_EQ(listener->peers(), 1U);
+    // A newer connection takes over, as before.
+    tcp::socket newest(io);
+    newest.connect(listener->address());
+    boost::asio::write(newest, boost::asio::buffer(kHello));
+    while (counters.of(Counter::Takeovers) < 1 && io.run_one_for(10s)) {}
+    EXPECT_EQ(planner.received.size(), 2U);
+}
+
 } // namespace
 } // namespace zincstack::net
