--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -15,8 +15,8 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
-/// Connections accepted in one turn of the event loop. Busy peers make a turn long, and clients that connect all the
-/// time would otherwise fill the backlog faster than one connection a turn can empty it.
+/// Connections accepted in one turn of the event loop. Busy peers make a turn long, and clients that connect
+/// all the time would otherwise fill the backlog faster than one connection a turn can empty it.
 constexpr int kMaxAcceptsPerTurn = 64;
 constexpr auto kAcceptRetryDelay = 50ms; // after a system error, usually a lack of file descriptors
 constexpr std::chrono::steady_clock::duration kJoinTimeout = 1s; // far more than a proxy or a collector needs
@@ -108,8 +108,8 @@
     }
 }
 
-/// Accepts connections from the backlog while there is room, at most kMaxAcceptsPerTurn. Returns an error only if
-/// the operating system reports one.
+/// Accepts connections from the backlog while there is room, at most kMaxAcceptsPerTurn. Returns an error
+/// only if the operating system reports one.
 boost::system::error_code Listener::acceptWaiting() {
     boost::system::error_code error;
     for (int count = 0; count < kMaxAcceptsPerTurn && !full(); ++count) {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -20,8 +20,8 @@
 namespace zincstack::net {
 
 /// Owns the listening socket and the open connections. Peers that have shown that they are needed are never
-/// closed in favor of new ones: while the listener is full, new connections wait in the backlog of the operating
-/// system.
+/// closed in favor of new ones: while the listener is full, new connections wait in the backlog of the
+/// operating system.
 class Listener : public std::enable_shared_from_this<Listener> {
 public:
     /// Creates the protocol of a new connection.
--- a/src/planner/admission_control.h
+++ b/src/planner/admission_control.h
@@ -70,8 +70,8 @@
     void updateAdmittedFractions(const FleetPerformance& fleet, const OfferedLoad& offered);
     double limitOf(const PlannedTable& table, std::size_t requestClass, const ProxyRegistry& proxies) const;
     double rateLimitFor(double fraction, std::vector<double> rates) const;
-    /// Calls `issueLimit(table, requestClass, lastIssued)` for each request class of each table that may have a
-    /// holder. `lastIssued` is negative if no limit has been issued.
+    /// Calls `issueLimit(table, requestClass, lastIssued)` for each request class of each table that may have
+    /// a holder. `lastIssued` is negative if no limit has been issued.
     void forEachLimit(std::vector<PlannedTable>& tables, const auto& issueLimit) const;
     void issueLimit(PlannedTable& table, std::size_t requestClass, double limit, ControlChannel& channel);
 
--- a/src/planner/fleet_load.h
+++ b/src/planner/fleet_load.h
@@ -18,8 +18,8 @@
 /// Requests per second that are admitted, by the endpoints that may serve them.
 struct AdmittedDemand {
     double anyZone = 0; ///< of the request classes that every endpoint may serve
-    /// Of the zone-local request classes, by zone. If there are such classes, it has an entry for each zone in
-    /// which a proxy has joined.
+    /// Of the zone-local request classes, by zone. If there are such classes, it has an entry for each zone
+    /// in which a proxy has joined.
     std::map<ZoneId, double> zoneLocal = {};
 };
 
--- a/src/planner/served_rates.h
+++ b/src/planner/served_rates.h
@@ -1,7 +1,7 @@
 // What warm endpoints serve: the basis of the capacity that is assumed for endpoints that are warming up.
 //
-// Owns the estimates. They rest on the load reports of this planner's proxies, so a planner that has a part of
-// the proxies estimates its part of each endpoint.
+// Owns the estimates. They rest on the load reports of this planner's proxies, so a planner that has a part
+// of the proxies estimates its part of each endpoint.
 #pragma once
 
 #include <map>
--- a/src/planner/slow_start.cpp
+++ b/src/planner/slow_start.cpp
@@ -79,9 +79,9 @@
     while (step > lowestStep && mustStepDown(endpoint, fleet)) --step;
 }
 
-/// Without a warm endpoint, those that are warming up must serve; in a zone with demand for zone-local request
-/// classes, provided that admission can be limited to what they can serve. A warm endpoint always has weight:
-/// it could not get any back, because it steps up only after an attempt has succeeded there.
+/// Without a warm endpoint, those that are warming up must serve; in a zone with demand for zone-local
+/// request classes, provided that admission can be limited to what they can serve. A warm endpoint always has
+/// weight: it could not get any back, because it steps up only after an attempt has succeeded there.
 bool SlowStart::mayHaveNoWeight(EndpointIndex endpoint, const FleetConditions& fleet) const {
     if (!fleet.allEndpoints.hasWarmEndpoint || warmUpFraction(endpoint, fleet.now) >= 1) return false;
     const auto zone = fleet.byZone.find(endpoints_.zone[endpoint]);
--- a/src/planner/slow_start.h
+++ b/src/planner/slow_start.h
@@ -17,8 +17,8 @@
 /// Minimum time that a reduced weight is kept, and then between the steps of its recovery.
 inline constexpr Micros kMinReducedTime = std::chrono::seconds(60);
 
-/// Factor by which the load of an endpoint may exceed its capacity without endangering it: a part of the factor
-/// at which it fails.
+/// Factor by which the load of an endpoint may exceed its capacity without endangering it: a part of the
+/// factor at which it fails.
 inline double safeOverload(const SafetyLimits& safety) {
     constexpr double kSafeOverloadFraction = 0.75;
     return kSafeOverloadFraction * safety.overloadFactor;
@@ -39,8 +39,8 @@
 /// Moves endpoints through slow start. Has no state; changes `slowStartStep` and `holdUntil` in the registry.
 class SlowStart {
 public:
-    /// `canLimitAdmission`: proxies apply admission limits, so a table may name only endpoints that are warming
-    /// up.
+    /// `canLimitAdmission`: proxies apply admission limits, so a table may name only endpoints that are
+    /// warming up.
     SlowStart(EndpointRegistry& endpoints, const SafetyLimits& safety, bool canLimitAdmission)
         : endpoints_(endpoints), safety_(safety), canLimitAdmission_(canLimitAdmission) {}
 
@@ -57,8 +57,8 @@
     struct EndpointPool {
         double demand = 0;       ///< requests per second
         double targetWeight = 0; ///< sum over its endpoints
-        bool hasWarmEndpoint =
-            false; ///< a warm endpoint gets requests, so one that is warming up may get none
+        /// A warm endpoint gets requests, so one that is warming up may get none.
+        bool hasWarmEndpoint = false;
     };
     /// Fleet-wide inputs of one call of `advance`, the same for all endpoints.
     struct FleetConditions {
--- a/src/planner/warm_up_limits.cpp
+++ b/src/planner/warm_up_limits.cpp
@@ -13,6 +13,7 @@
     Pools pools = findPools(now);
     estimateCapacities(pools, totalDemand, now);
 
+    for (PlannedTable& table : tables) table.warmUpFraction = 1; // also those without demand
     const double fleetFraction = admittedFraction(pools.fleet, totalDemand);
     setFraction(tables, std::nullopt, fleetFraction);
     AdmittedDemand admitted{.anyZone = demand.anyZone * fleetFraction};
--- a/src/planner/warm_up_limits.h
+++ b/src/planner/warm_up_limits.h
@@ -1,9 +1,9 @@
 // Limits what tables admit while nearly all of their endpoints are warming up.
 //
-// Slow start gives such endpoints low weights, but weights only divide a table's demand: if no endpoint of the
-// table is warm, they all get their full share at any weight. So the demand itself is limited to what the
-// endpoints can serve at their age. The limit rises as they warm up, and ends once the warm ones can carry the
-// demand.
+// Slow start gives such endpoints low weights, but weights only divide a table's demand: if no endpoint of
+// the table is warm, they all get their full share at any weight. So the demand itself is limited to what the
+// endpoints can serve at their age. The limit rises as they warm up, and ends once the warm ones can carry
+// the demand.
 //
 // Owns the estimates of what warm endpoints serve. Changes `warmUpFraction` of each PlannedTable; admission
 // control issues the limits that follow from it.
@@ -33,8 +33,8 @@
     void reportLoad(const EndpointLoadReport& report, Micros now) { rates_.reportLoad(report, now); }
     /// Evaluates the load reports; to be called in each batch.
     void evaluateReports(Micros now) { rates_.evaluate(now); }
-    /// Sets the tables' `warmUpFraction`. Returns the demand that slow start has to expect. Reports to the sink
-    /// when limits start and stop.
+    /// Sets the tables' `warmUpFraction`. Returns the demand that slow start has to expect. Reports to the
+    /// sink when limits start and stop.
     AdmittedDemand update(std::vector<PlannedTable>& tables, const AdmittedDemand& demand, Micros now);
 
 private:
--- a/src/platform/pending_update.cpp
+++ b/src/platform/pending_update.cpp
@@ -175,7 +175,11 @@
         if (urgentOnly && hasWrittenTable_) return 0;
         return kReplaceLines + state_.table(table).weights.size() + countAdmissionLines(update.admission);
     }
-    if (urgentOnly) return static_cast<std::size_t>(std::ranges::count_if(update.weights, removesEndpoint));
+    if (urgentOnly) {
+        const auto removals =
+            static_cast<std::size_t>(std::ranges::count_if(update.weights, removesEndpoint));
+        return removals > 0 ? removals + countAdmissionLines(update.admission) : 0;
+    }
     return update.weights.size() + countAdmissionLines(update.admission);
 }
 
@@ -207,7 +211,13 @@
         taken.weights = state_.table(table).weights;
         return taken;
     }
-    if (urgentOnly) return {update.requestClasses, false, takeRemovals(update.weights), {}};
+    if (urgentOnly) {
+        // What is removed moves its requests to the other endpoints, so the limits that follow from it go
+        // along.
+        auto removals = takeRemovals(update.weights);
+        if (removals.empty()) return {};
+        return {update.requestClasses, false, std::move(removals), std::exchange(update.admission, {})};
+    }
     return std::exchange(update, {});
 }
 
--- a/src/platform/pending_update.h
+++ b/src/platform/pending_update.h
@@ -13,7 +13,8 @@
 namespace zincstack::net {
 
 /// Which of the pending changes a message contains. If the channel lacks capacity for all of them, only the
-/// urgent ones are sent: exclusions, removed endpoints and the first table on the stream.
+/// urgent ones are sent: exclusions, removed endpoints with the admission limits of their tables, and the
+/// first table on the stream.
 enum class UpdateScope : std::uint8_t { Complete, UrgentOnly };
 
 /// Merges later changes with earlier ones, so that the next message contains only the latest desired state.
--- a/src/platform/update_queue.h
+++ b/src/platform/update_queue.h
@@ -33,8 +33,8 @@
     bool sessionClosed(ProxyId proxy, const PushStream& stream);
     /// Whether the stream is the proxy's current session.
     bool ownsSession(ProxyId proxy, const PushStream& stream) const;
-    /// Records that a message arrived on the stream, which shows that the proxy is alive. Has no effect if the
-    /// stream is not the proxy's session.
+    /// Records that a message arrived on the stream, which shows that the proxy is alive. Has no effect if
+    /// the stream is not the proxy's session.
     void inputReceived(ProxyId proxy, const PushStream& stream, Micros now);
     /// Records an acknowledgement that cannot be used: it is invalid, or no message has its barrier.
     void unusableAcknowledgementReceived(ProxyId proxy);
--- a/tests/cold_zone_test.cpp
+++ b/tests/cold_zone_test.cpp
@@ -1,5 +1,5 @@
-// A zone that is lost and returns cold, while request classes keep to their zone: no proxy lacks an endpoint, and
-// no endpoint is overloaded while it warms up (review/6 and review/7).
+// A zone that is lost and returns cold, while request classes keep to their zone: no proxy lacks an endpoint,
+// and no endpoint is overloaded while it warms up (review/6 and review/7).
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -128,8 +128,8 @@
 class ColdZone : public testing::TestWithParam<Scenario> {};
 
 /// Guards against tables that name only endpoints that warm up, without a limit of what is admitted: their
-/// weights bound nothing, and a zone's whole demand overloaded its endpoints (review/7). The limit ends with its
-/// cause.
+/// weights bound nothing, and a zone's whole demand overloaded its endpoints (review/7). The limit ends with
+/// its cause.
 TEST_P(ColdZone, KeepsTheRulesAndServesAllOnceItIsWarm) {
     const Scenario& scenario = GetParam();
     ZoneTrafficModel model(scenario.config);
@@ -147,8 +147,8 @@
 INSTANTIATE_TEST_SUITE_P(Lost, ColdZone, testing::ValuesIn(scenarios()),
                          [](const auto& test) { return std::string(test.param.name); });
 
-/// Guards against a zone whose endpoints are all ejected while the list shows them as ready and long started: its
-/// proxies have no endpoint (issue 43).
+/// Guards against a zone whose endpoints are all ejected while the list shows them as ready and long started:
+/// its proxies have no endpoint (issue 43).
 TEST(ColdZoneWithoutNotice, LeavesEachProxyAnEndpoint) {
     ZoneTrafficModel model(threeZones());
     model.start();
@@ -158,8 +158,8 @@
     for (const std::string& violation : model.violations()) ADD_FAILURE() << violation;
 }
 
-/// Guards against a limit that comes after the endpoints that it protects: it has to reach the proxies in the same
-/// message as the first of them, or before.
+/// Guards against a limit that comes after the endpoints that it protects: it has to reach the proxies in the
+/// same message as the first of them, or before.
 TEST(ColdZoneLimit, ComesWithTheFirstEndpointAndRisesAsTheyWarmUp) {
     for (const ThrottleMode mode : {ThrottleMode::Rate, ThrottleMode::Fraction}) {
         ZoneTrafficModel model(threeZones(mode));
@@ -179,7 +179,8 @@
     }
 }
 
-/// Where proxies ignore limits, endpoints that warm up get no weight instead, and have some once they are warm.
+/// Where proxies ignore limits, endpoints that warm up get no weight instead, and have some once they are
+/// warm.
 TEST(ColdZoneLimit, IsReplacedByWeightsWhereProxiesIgnoreLimits) {
     ZoneTrafficModel model(threeZones(ThrottleMode::None));
     model.start();
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -88,8 +88,8 @@
     EXPECT_EQ(listener->peers(), 1U);
 }
 
-/// Regression (docs/incidents/2026-12-slow-accept.md): one connection was accepted in each turn of the event loop.
-/// While busy peers made the turns long, clients that connected all the time kept the backlog full.
+/// Regression (docs/incidents/2026-12-slow-accept.md): one connection was accepted in each turn of the event
+/// loop. While busy peers made the turns long, clients that connected all the time kept the backlog full.
 TEST_F(ListenerTest, AcceptsTheWaitingConnectionsInOneTurn) {
     using boost::asio::ip::tcp;
     constexpr std::size_t kWaiting = 20;
@@ -113,8 +113,8 @@
     EXPECT_GE(counters.of(Counter::Accepted), 2 * kRoom);
 }
 
-/// Regression (docs/incidents/2026-12-late-hello.md): a `hello` that was read after the same proxy had joined on a
-/// newer connection ended that stream, although nobody was left on the older one.
+/// Regression (docs/incidents/2026-12-late-hello.md): a `hello` that was read after the same proxy had joined
+/// on a newer connection ended that stream, although nobody was left on the older one.
 TEST_F(ListenerTest, IgnoresAHelloOnAnOlderConnectionThanTheProxysStream) {
     using boost::asio::ip::tcp;
     constexpr auto kHello = "hello proxy=17 zone=b weight=1 fresh=1\r\n"sv;
--- a/tests/message_test.cpp
+++ b/tests/message_test.cpp
@@ -22,8 +22,8 @@
         EXPECT_FALSE(parseNumber(invalid)) << invalid;
 }
 
-/// Guards against memory that grows with the number of fields: one line of 1 MiB with very many short fields cost
-/// 17 MB, at a limit of 32 MB.
+/// Guards against memory that grows with the number of fields: one line of 1 MiB with very many short fields
+/// cost 17 MB, at a limit of 32 MB.
 TEST(MessageParser, OwnsNoMemory) {
     static_assert(std::is_trivially_copyable_v<Message> && std::is_trivially_destructible_v<Message>);
     std::string line = "demand";
--- a/tests/update_queue_test.cpp
+++ b/tests/update_queue_test.cpp
@@ -247,6 +247,22 @@
     EXPECT_EQ(firstStream.take(), "push rows=s-0:0" + stamp);
 }
 
+/// Guards against a removal without the admission limit that was ordered with it (review/7): the proxy would
+/// send all its requests to what is left of the table, which may be endpoints that are warming up.
+TEST_F(UpdateQueueCreditTest, RemovalsThatGoFirstTakeTheLimitsOfTheirTableAlong) {
+    for (std::size_t k = 3; k < 12; ++k) state.setWeight(kTable, endpoints[k], 1);
+    endBatch(); // the first proxy's message leaves no room for ordinary updates
+    discardReceived();
+    for (std::size_t k = 4; k < 12; ++k) state.setWeight(kTable, endpoints[k], 2);
+    state.setAdmission(kTable, 0, 0.25, RetryPolicy::AfterProofOfNoEffect);
+    endBatch();
+    EXPECT_EQ(firstStream.take(), ""); // a limit alone can wait
+    state.setWeight(kTable, endpoints[0], 0);
+    endBatch();
+    const std::string stamp = " stamp=" + std::to_string(lastBarrier) + "\r\n";
+    EXPECT_EQ(firstStream.take(), "push rows=s-0:0 part=1\r\npush gate=0.25 again=1" + stamp);
+}
+
 /// Regression: weights deferred for one unresponsive proxy counted as pending lines. The planner limits its
 /// rate by these, so the updates of all proxies were delayed.
 TEST_F(UpdateQueueCreditTest, UpdatesForAnUnresponsiveProxyDoNotCountAsChannelLoad) {
--- a/tests/zone_traffic_model.h
+++ b/tests/zone_traffic_model.h
@@ -1,7 +1,7 @@
-// A closed loop of clients, proxies, endpoints and planners in simulated time, for faults of whole zones. Load
-// is a flow: rates are spread over a proxy's table by weight, and clients repeat what was rejected or failed.
-// The planners see only what proxies would report. Two rules are checked after every step: no proxy lacks an
-// endpoint for too long, and no endpoint that warms up is overloaded.
+// A closed loop of clients, proxies, endpoints and planners in simulated time, for faults of whole zones.
+// Load is a flow: rates are spread over a proxy's table by weight, and clients repeat what was rejected or
+// failed. The planners see only what proxies would report. Two rules are checked after every step: no proxy
+// lacks an endpoint for too long, and no endpoint that warms up is overloaded.
 #pragma once
 
 #include <array>
@@ -71,8 +71,8 @@
     double lowestLimit(std::size_t zone) const;
     /// Whether a proxy of the zone may send to endpoints of which none is warm, without an admission limit.
     bool sendsUnlimitedToColdEndpoints(std::size_t zone) const;
-    /// Most that an endpoint of the zone was sent within SafetyLimits::overloadDuration while it warmed up and
-    /// its start was announced, as a multiple of its capacity.
+    /// Most that an endpoint of the zone was sent within SafetyLimits::overloadDuration while it warmed up
+    /// and its start was announced, as a multiple of its capacity.
     double worstOverload(std::size_t zone) const;
 
 private:
