Test model of zones: spread a proxy's requests in one place

Need: sending and serving walked a proxy's table with the same loop, and the check for excluded endpoints stood three times. Change: forEachPart and isExcluded. Behaviour of the program is unchanged.

--- a/tests/cold_zone_test.cpp
+++ b/tests/cold_zone_test.cpp
@@ -245,8 +245,8 @@
 }
 
 /// Guards against overload after a restart of the planner while no endpoint of the fleet is warm: it knows
-/// nothing of what they serve when warm, and limits nothing (issue 33). Found by HoldsForRandomFaults in a long
-/// run.
+/// nothing of what they serve when warm, and limits nothing (issue 33). HoldsForRandomFaults found it in a
+/// long run.
 TEST(ColdZoneLimit, HoldsAfterARestartWhileNoEndpointIsWarm) {
     ZoneTrafficModel model(
         {.zones = {{2, 8.4}, {2, 12.04}}, .throttleMode = ThrottleMode::Fraction, .proxiesPerZone = 2});
--- a/tests/zone_traffic_model.cpp
+++ b/tests/zone_traffic_model.cpp
@@ -311,28 +311,32 @@
     return offered;
 }
 
-double ZoneTrafficModel::usableWeight(const Proxy& proxy, std::size_t requestClass) const {
+bool ZoneTrafficModel::isExcluded(const Proxy& proxy, EndpointId endpoint) {
+    const auto exclusion = proxy.excluded.find(endpoint);
+    return exclusion != proxy.excluded.end() && exclusion->second;
+}
+
+double ZoneTrafficModel::usableWeight(const Proxy& proxy, std::size_t requestClass) {
     double weight = 0;
-    for (const auto& [id, part] : proxy.routes[requestClass].weights) {
-        const auto exclusion = proxy.excluded.find(id);
-        if (exclusion == proxy.excluded.end() || !exclusion->second) weight += part;
-    }
+    for (const auto& [id, part] : proxy.routes[requestClass].weights)
+        if (!isExcluded(proxy, id)) weight += part;
     return weight;
 }
 
+/// Calls `handlePart` with each endpoint that the proxy sends requests of the class to, and their rate.
+void ZoneTrafficModel::forEachPart(const Proxy& proxy, std::size_t requestClass, const auto& handlePart) {
+    const double total = usableWeight(proxy, requestClass);
+    if (total <= 0) return;
+    const double rate = admittedRate(proxy, requestClass);
+    for (const auto& [id, weight] : proxy.routes[requestClass].weights)
+        if (!isExcluded(proxy, id)) handlePart(id, rate * weight / total);
+}
+
 void ZoneTrafficModel::sendRequests() {
     for (auto& [id, endpoint] : endpoints_) endpoint.sent = 0;
     for (const Proxy& proxy : proxies_)
-        for (std::size_t index = 0; index < proxy.routes.size(); ++index) {
-            const double total = usableWeight(proxy, index);
-            if (total <= 0) continue;
-            const double rate = admittedRate(proxy, index);
-            for (const auto& [id, weight] : proxy.routes[index].weights) {
-                const auto exclusion = proxy.excluded.find(id);
-                if (exclusion != proxy.excluded.end() && exclusion->second) continue;
-                endpoints_[id].sent += rate * weight / total;
-            }
-        }
+        for (std::size_t index = 0; index < proxy.routes.size(); ++index)
+            forEachPart(proxy, index, [&](EndpointId id, double rate) { endpoints_[id].sent += rate; });
 }
 
 void ZoneTrafficModel::serveRequests() {
@@ -341,22 +345,15 @@
         endpoint.served = answeredInTime(endpoint.sent, capacity);
     }
     for (Proxy& proxy : proxies_)
-        for (std::size_t index = 0; index < proxy.routes.size(); ++index) {
-            const double total = usableWeight(proxy, index);
-            if (total <= 0) continue;
-            const double rate = admittedRate(proxy, index);
-            for (const auto& [id, weight] : proxy.routes[index].weights) {
-                const auto exclusion = proxy.excluded.find(id);
-                if (exclusion != proxy.excluded.end() && exclusion->second) continue;
+        for (std::size_t index = 0; index < proxy.routes.size(); ++index)
+            forEachPart(proxy, index, [&](EndpointId id, double rate) {
                 const Endpoint& endpoint = endpoints_[id];
-                const double part = rate * weight / total;
-                const double served = endpoint.sent > 0 ? part * endpoint.served / endpoint.sent : 0;
+                const double served = endpoint.sent > 0 ? rate * endpoint.served / endpoint.sent : 0;
                 proxy.load[index].served += served;
                 AttemptCount& count = attempts_[{proxy.planner, proxy.zone, id}];
-                count.attempts += part * kStepSeconds;
+                count.attempts += rate * kStepSeconds;
                 count.served += served * kStepSeconds;
-            }
-        }
+            });
 }
 
 void ZoneTrafficModel::report() {
--- a/tests/zone_traffic_model.h
+++ b/tests/zone_traffic_model.h
@@ -132,7 +132,9 @@
     void checkAvailability(Proxy& proxy, std::uint16_t id);
     void recordViolation(const std::string& text);
     double admittedRate(const Proxy& proxy, std::size_t requestClass) const;
-    double usableWeight(const Proxy& proxy, std::size_t requestClass) const;
+    static bool isExcluded(const Proxy& proxy, EndpointId endpoint);
+    static double usableWeight(const Proxy& proxy, std::size_t requestClass);
+    void forEachPart(const Proxy& proxy, std::size_t requestClass, const auto& handlePart);
     double warmUpFraction(const Endpoint& endpoint) const;
     std::vector<EndpointId> firstOf(std::size_t zone, std::size_t count) const;
 
